--- /dev/null
+++ b/cmd/goldcrest/main.go
@@ -0,0 +1,4 @@
+// Command goldcrest.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/goldlab/main.go
@@ -0,0 +1,4 @@
+// Command goldlab.
+package main
+
+func main() {}
--- /dev/null
+++ b/customer/doc.go
@@ -0,0 +1,6 @@
+// Package customer holds what a customer is promised and what a customer is told.
+//
+// A contract is written by operators, one for each customer. Every limit that the customer meets is derived from it by
+// [Contract.Limits]. A request that cannot be served is refused with a [Refusal], which carries a [Verdict]: whether the
+// request may have run. The package imports no other package of this module, so that every layer can use its types.
+package customer
--- /dev/null
+++ b/customer/verdict.go
@@ -0,0 +1,125 @@
+package customer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Verdict says whether a failed request may have run at an endpoint.
+type Verdict uint8
+
+const (
+	// NotRun means that the request certainly did not run: it was never sent, or the endpoint refused it before running it.
+	NotRun Verdict = iota + 1
+	// MayHaveRun means that at least one byte may have reached an endpoint.
+	MayHaveRun
+)
+
+// String returns the verdict as it stands in answers and logs.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "notRun"
+	case MayHaveRun:
+		return "mayHaveRun"
+	default:
+		return fmt.Sprintf("verdict(%d)", uint8(v))
+	}
+}
+
+// Reason names why a request was refused or failed. Each reason has a counter of its own.
+type Reason string
+
+// Reasons for refusals and failures.
+const (
+	ReasonBadRequest         Reason = "badRequest"         // malformed or incomplete request
+	ReasonTooLarge           Reason = "tooLarge"           // body above the configured limit
+	ReasonBadKey             Reason = "badKey"             // API key missing or unknown
+	ReasonUnknownModel       Reason = "unknownModel"       // model not in the configuration or the contract
+	ReasonUnknownService     Reason = "unknownService"     // service not in the configuration or the contract
+	ReasonPromptTooLong      Reason = "promptTooLong"      // above the contract's longest prompt
+	ReasonTokenRate          Reason = "tokenRate"          // above the contract's tokens a second
+	ReasonConcurrency        Reason = "concurrency"        // above the contract's concurrent requests
+	ReasonQueueFull          Reason = "queueFull"          // the endpoint's queue is at its bound
+	ReasonDeadline           Reason = "deadline"           // the predicted or actual end is after the deadline
+	ReasonCallerGone         Reason = "callerGone"         // the caller closed its connection
+	ReasonMemory             Reason = "memory"             // needs more KV-cache memory than any endpoint or group has
+	ReasonNoEndpoint         Reason = "noEndpoint"         // no live endpoint serves the model or service
+	ReasonNoOwner            Reason = "noOwner"            // no VM holds enough shares of the endpoint
+	ReasonCold               Reason = "cold"               // the endpoint's cold-start allowance is used up
+	ReasonShare              Reason = "share"              // the shares lent to the owner leave no room
+	ReasonDrained            Reason = "drained"            // the data centre, VM or endpoint is drained
+	ReasonGrantExpired       Reason = "grantExpired"       // the grant lapsed before the send
+	ReasonEndpointRefused    Reason = "endpointRefused"    // the endpoint refused before running
+	ReasonEndpointFailed     Reason = "endpointFailed"     // the endpoint failed or the connection broke
+	ReasonRetryBudget        Reason = "retryBudget"        // a retry was possible but the budget is used up
+	ReasonLogUnavailable     Reason = "logUnavailable"     // the platform's log cannot be reached
+	ReasonClaimed            Reason = "claimed"            // another request holds the key and has no known outcome
+	ReasonKeyReused          Reason = "keyReused"          // the key was used with a different request
+	ReasonForwardUnavailable Reason = "forwardUnavailable" // no VM of another data centre can take the request
+	ReasonNotReady           Reason = "notReady"           // the VM has no configuration yet or is stopping
+	ReasonInternal           Reason = "internal"           // a fault of this program
+)
+
+// Refusal is the error of a request that was refused or failed.
+type Refusal struct {
+	verdict    Verdict
+	reason     Reason
+	message    string
+	retryAfter time.Duration
+}
+
+// RefusalOption sets an optional field of a Refusal.
+type RefusalOption func(*Refusal)
+
+// RetryAfter tells the caller when a further try may succeed.
+func RetryAfter(d time.Duration) RefusalOption {
+	return func(r *Refusal) { r.retryAfter = d }
+}
+
+// Refuse returns a refusal of a request that certainly did not run.
+func Refuse(reason Reason, message string, opts ...RefusalOption) *Refusal {
+	return newRefusal(NotRun, reason, message, opts)
+}
+
+// Fail returns the failure of a request that may have run.
+func Fail(reason Reason, message string, opts ...RefusalOption) *Refusal {
+	return newRefusal(MayHaveRun, reason, message, opts)
+}
+
+func newRefusal(v Verdict, reason Reason, message string, opts []RefusalOption) *Refusal {
+	r := &Refusal{verdict: v, reason: reason, message: message}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// Verdict says whether the request may have run.
+func (r *Refusal) Verdict() Verdict { return r.verdict }
+
+// Reason returns the reason under which the refusal is counted.
+func (r *Refusal) Reason() Reason { return r.reason }
+
+// Message returns the text for the caller.
+func (r *Refusal) Message() string { return r.message }
+
+// RetryAfter returns how long the caller should wait, or 0 where waiting does not help.
+func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.reason, r.verdict, r.message)
+}
+
+// AsRefusal returns the refusal in err's chain. Any other error becomes an internal failure that may have run, because
+// nothing proves the contrary.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return Fail(ReasonInternal, err.Error())
+}
