--- /dev/null
+++ b/operator/files_test.go
@@ -0,0 +1,145 @@
+package operator
+
+import (
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/engine"
+	"goldcrestpath/service"
+)
+
+func readSample(t testing.TB, name string) []byte {
+	t.Helper()
+	data, err := os.ReadFile("../sample/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// Guards against a sample that the parsers do not accept, or fields that are read into the wrong place.
+func TestSamples(t *testing.T) {
+	if _, err := LoadSettings("../sample/settings.ini"); err != nil {
+		t.Errorf("settings: %v", err)
+	}
+	f, err := ParseFleet("fleet.ini", readSample(t, "fleet.ini"))
+	if err != nil {
+		t.Fatalf("fleet: %v", err)
+	}
+	wantEngine := engine.Spec{
+		Name: "small-a1", DataCentre: "jm-a", Address: "127.0.0.1:7101", Model: "small", KVTokens: 400000, Sequences: 64,
+		PrefillRate: 20000, DecodeRate: 60, ColdSequences: 2, ChecksFence: true, Group: "wide-a",
+	}
+	wantService := service.Spec{
+		Name: "booking-a1", Service: "booking", DataCentre: "jm-a", Address: "127.0.0.1:7201", Concurrent: 16,
+		Idempotent: []string{"PUT /rooms/", "DELETE /drafts/"}, BodyLimitBytes: 1 << 20,
+	}
+	if diff := cmp.Diff(wantEngine, f.Engines()[0]); diff != "" {
+		t.Errorf("engine:\n%s", diff)
+	}
+	if diff := cmp.Diff(wantService, f.Services()[0]); diff != "" {
+		t.Errorf("service:\n%s", diff)
+	}
+	if diff := cmp.Diff([]Group{{Name: "wide-a", Members: []string{"small-a1", "small-a2"}}}, f.Groups()); diff != "" {
+		t.Errorf("groups:\n%s", diff)
+	}
+	if got := len(f.Places()); got != 4 || f.Region("jm-b") != "jm-east" {
+		t.Errorf("%d places, region %q", got, f.Region("jm-b"))
+	}
+}
+
+// Guards against problems that are missed, found one at a time, or reported without their place.
+func TestProblems(t *testing.T) {
+	settings := func(file string, data []byte) error { _, err := ParseSettings(file, data); return err }
+	fleet := func(file string, data []byte) error { _, err := ParseFleet(file, data); return err }
+	const needed = "[vm]\nplace = a/1\ndataCentre = a\n[caller]\nlisten = 10.0.0.1:80\n[peer]\nlisten = 10.0.0.1:81\n[platform]\nlog = 10.0.0.2:80\n"
+	const site = "[dataCentre a]\nregion = r\n"
+	const anEngine = "dataCentre = a\nmodel = m\nkvTokens = 10\nsequences = 2\nprefillRate = 5\ndecodeRate = 5\n"
+	const allowedNumber = "a whole number from 1 to 1000000000"
+	type want struct{ Section, Key, Value, Allowed string }
+	tests := []struct {
+		name  string
+		parse func(string, []byte) error
+		text  string
+		want  []want
+	}{
+		{"host name and unknown key", settings, needed + "[operator]\nlisten = localhost:9\ntokenfile = x\n", []want{
+			{"operator", "listen", "localhost:9", allowedAddress},
+			{"operator", "tokenfile", "x", "the keys listen, tokenFile, tlsCertificate, tlsKey"},
+		}},
+		{"operators' API without a token", settings, needed + "[operator]\nlisten = 10.0.0.1:9\n", []want{
+			{"operator", "tokenFile", "", "a file path"},
+		}},
+		{"unknown section, repeated key, incomplete TLS", settings, needed + "[routes]\nx = 1\n[log]\nlevel = info\nlevel = warn\n[operator]\ntlsKey = k\n", []want{
+			{"log", "level", "info and warn", "the key once in a section"},
+			{"operator", "tlsCertificate", "", "a file path where other TLS keys are set"},
+			{"routes", "", "", "the sections [vm], [caller], [peer], [operator], [platform], [log], [routing]"},
+		}},
+		{"key outside a section", settings, "place = x\n" + needed, []want{{"", "place", "x", "keys only below a [section]"}}},
+		{"values out of range", settings, needed + "claimRetention = 10\n[routing]\npolicy = fastest\n", []want{
+			{"platform", "claimRetention", "10", "a duration such as 90s or 10m, from 1s to 720h0m0s"},
+			{"routing", "policy", "fastest", "affinity or roundRobin or leastOutstanding"},
+		}},
+		{"missing keys", settings, "", []want{
+			{"vm", "place", "", allowedName},
+			{"vm", "dataCentre", "", allowedName},
+			{"caller", "listen", "", allowedAddress},
+			{"peer", "listen", "", allowedAddress},
+			{"platform", "log", "", allowedAddress},
+		}},
+		{"engine fields", fleet, site + "[engine e]\naddress = 10.0.0.1:1\ndataCentre = b\nmodel = m\nkvTokens = -1\nsequences = 2\nprefillRate = NaN\ndecodeRate = 5\nchecksFence = yes\nkvtokens = 3\n", []want{
+			{"engine e", "kvTokens", "-1", allowedNumber},
+			{"engine e", "prefillRate", "NaN", "a number above 0 and up to 1e9"},
+			{"engine e", "checksFence", "yes", "true or false"},
+			{"engine e", "kvtokens", "3", "the keys dataCentre, address, model, kvTokens, sequences, prefillRate, decodeRate, coldSequences, checksFence, group"},
+			{"engine e", "dataCentre", "b", "the name of a [dataCentre NAME] section of this file"},
+		}},
+		{"two endpoints at one address", fleet, site + "[engine e]\naddress = 10.0.0.1:1\n" + anEngine + "[vm a/1]\ndataCentre = a\naddress = 10.0.0.1:1\n", []want{
+			{"vm a/1", "address", "10.0.0.1:1", "an address that no other section has; [engine e] has it too"},
+		}},
+		{"group of unknown engines", fleet, site + "[engine e]\naddress = 10.0.0.1:1\ngroup = h\n" + anEngine + "[group g]\nmembers = e, f\n", []want{
+			{"group g", "members", "e, f", `names of [engine NAME] sections; "f" is none`},
+			{"engine e", "group", "h", "the [group NAME] that lists the engine among its members"},
+		}},
+		{"rules and kinds", fleet, site + "[service s]\nservice = s\ndataCentre = a\naddress = 10.0.0.1:1\nconcurrent = 1\nidempotent = put /x\n[pod p]\n", []want{
+			{"service s", "idempotent", "put /x", `rules "METHOD /path/prefix" separated by commas`},
+			{"pod p", "", "", allowedFleetSections},
+		}},
+		{"empty fleet", fleet, "", []want{{"", "", "", "at least one [dataCentre NAME] section"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var problems customer.Problems
+			if err := tt.parse("f.ini", []byte(tt.text)); !errors.As(err, &problems) {
+				t.Fatalf("error is %v, want customer.Problems", err)
+			}
+			var got []want
+			for _, p := range problems {
+				if p.File != "f.ini" {
+					t.Errorf("problem names file %q", p.File)
+				}
+				got = append(got, want{p.Section, p.Key, p.Value, p.Allowed})
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("problems (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against parsers that panic on operators' input.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"settings.ini", "fleet.ini", "contract.ini"} {
+		f.Add(readSample(f, name))
+	}
+	f.Add([]byte("[group g]\nmembers = e, e\n[group g]\n"))
+	f.Add([]byte("[vm \n=\n[]\nx"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ParseSettings("s.ini", data)
+		ParseFleet("f.ini", data)
+	})
+}
