--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,128 @@
+package service
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/service/attempt"
+)
+
+// verdictHeader is the header with which an instance states that it refused a call before running it.
+const verdictHeader = "Goldcrest-Verdict"
+
+// maxResponseBytes bounds the response that is kept in memory.
+const maxResponseBytes = 64 << 20
+
+// Client calls plain services. Each call is sent at most once.
+type Client struct {
+	maxResponse int
+}
+
+// ClientOption sets an optional property of a Client.
+type ClientOption func(*Client)
+
+// WithMaxResponse bounds the length of a response in bytes.
+func WithMaxResponse(n int) ClientOption { return func(c *Client) { c.maxResponse = n } }
+
+// NewClient returns a client.
+func NewClient(opts ...ClientOption) *Client {
+	c := &Client{maxResponse: maxResponseBytes}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Do makes one attempt of a call. The error is a *customer.Refusal.
+func (c *Client) Do(ctx context.Context, s Spec, r *Request) (*Response, error) {
+	if !r.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	fill(req, s, r)
+	a, sent, err := attempt.Do(ctx, s.Address, nil, req, resp)
+	if err != nil {
+		return nil, failure(ctx, sent, err)
+	}
+	defer a.Close()
+	defer resp.CloseBodyStream()
+	out := &Response{Status: resp.StatusCode()}
+	refused := false
+	for name, value := range resp.Header.All() {
+		h := Header{Name: string(name), Value: string(value)}
+		if strings.EqualFold(h.Name, verdictHeader) && h.Value == customer.NotRun.String() {
+			refused = true
+		}
+		if !hopByHop(h.Name) {
+			out.Headers = append(out.Headers, h)
+		}
+	}
+	if out.Status == fasthttp.StatusServiceUnavailable && refused {
+		return nil, customer.Refuse(customer.ReasonEndpointRefused, s.Name+" refused the call before running it")
+	}
+	if stream := resp.BodyStream(); stream != nil {
+		out.Body, err = io.ReadAll(io.LimitReader(stream, int64(c.maxResponse)+1))
+	} else {
+		out.Body = append([]byte(nil), resp.Body()...)
+	}
+	if err != nil {
+		return nil, failure(ctx, true, err)
+	}
+	if len(out.Body) > c.maxResponse {
+		return nil, customer.Fail(customer.ReasonEndpointFailed, s.Name+" sent a response above "+strconv.Itoa(c.maxResponse)+" bytes")
+	}
+	return out, nil
+}
+
+// fill writes r into req. Fields that concern a single connection are left out.
+func fill(req *fasthttp.Request, s Spec, r *Request) {
+	req.Header.DisableNormalizing()
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetMethod(r.Method)
+	path := r.Path
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	req.SetRequestURI(path)
+	req.Header.SetHost(s.Address)
+	for _, h := range r.Headers {
+		if !hopByHop(h.Name) {
+			req.Header.Add(h.Name, h.Value)
+		}
+	}
+	req.SetBody(r.Body)
+}
+
+// hopByHop says whether a header field concerns one connection or is derived from the message itself.
+func hopByHop(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding",
+		"upgrade", "host", "content-length", "expect":
+		return true
+	}
+	return false
+}
+
+// failure turns an attempt's error into a refusal.
+func failure(ctx context.Context, sent bool, err error) *customer.Refusal {
+	reason := customer.ReasonEndpointFailed
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		reason = customer.ReasonDeadline
+	case context.Canceled:
+		reason = customer.ReasonCallerGone
+	}
+	if !sent {
+		return customer.Refuse(reason, err.Error())
+	}
+	return customer.Fail(reason, err.Error())
+}
