Add stand-ins for the platform, booking service and engines

Tests and experiments need peers that speak docs/PROTOCOLS.md and fail on command. The log, VM list, weight store and booking service are plain HTTP servers with fault switches. The engine runs continuous batching in steps, so that a long prefill slows every sequence, and counts overcommits, leaks, falls in cold start and repeated request IDs.

--- /dev/null
+++ b/standin/answer.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// TokenBytes is the length of a token in prompts and answers.
+const TokenBytes = 4
+
+const answerAlphabet = "abcdefghijklmnopqrstuvwxyz012345"
+
+// Answer returns the text of n tokens that an engine generates for a request, a function of the request ID and the model. A
+// client that knows both can verify that an answer is whole and its own.
+func Answer(requestID, model string, n int) string {
+	var b strings.Builder
+	b.Grow(n * TokenBytes)
+	seed := xxhash.Sum64String(model + "\x00" + requestID)
+	for i := range n {
+		x := mix(seed + uint64(i))
+		b.WriteByte(answerAlphabet[x&31])
+		b.WriteByte(answerAlphabet[x>>5&31])
+		b.WriteByte(answerAlphabet[x>>10&31])
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/standin/enginehttp.go
@@ -0,0 +1,513 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// longestBody bounds request bodies: a prompt of 2,000,000 tokens with JSON escapes.
+	longestBody = 16 << 20
+	// defaultMaxTokens is the answer's length where a request names none.
+	defaultMaxTokens = 16
+)
+
+func (e *Engine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("DELETE /v1/streams", e.serveCancelHolder)
+	mux.HandleFunc("POST /v1/reservations", e.serveReserve)
+	mux.HandleFunc("GET /v1/report", e.serveReport)
+	mux.HandleFunc("GET /v1/cacheEvents", e.serveEvents)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("GET /v1/kv/{id}", e.serveExport)
+	mux.HandleFunc("PUT /v1/kv/{id}", e.serveImport)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.awaitThaw(r)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// awaitThaw holds a call while the engine is frozen.
+func (e *Engine) awaitThaw(r *http.Request) {
+	e.mu.Lock()
+	thawed := e.thawed
+	e.mu.Unlock()
+	if thawed == nil {
+		return
+	}
+	select {
+	case <-thawed:
+	case <-e.done:
+		dropConnection()
+	case <-r.Context().Done():
+		dropConnection()
+	}
+}
+
+// refusal is an error answer that is sent before any work began.
+type refusal struct {
+	status          int
+	reason, message string
+}
+
+func (f *refusal) write(w http.ResponseWriter) {
+	type body struct {
+		Reason  string `json:"reason"`
+		Message string `json:"message"`
+		Verdict string `json:"verdict"`
+	}
+	writeJSON(w, f.status, struct {
+		Error body `json:"error"`
+	}{body{f.reason, f.message, "notRun"}})
+}
+
+func badRequest(message string) *refusal {
+	return &refusal{http.StatusBadRequest, "badRequest", message}
+}
+
+// decode reads a JSON body or writes a refusal.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, longestBody))
+	if err == nil {
+		err = json.Unmarshal(data, v)
+	}
+	if err != nil {
+		badRequest(err.Error()).write(w)
+		return false
+	}
+	return true
+}
+
+type completionRequest struct {
+	Model          string `json:"model"`
+	Prompt         string `json:"prompt"`
+	MaxTokens      int    `json:"max_tokens"`
+	Stream         bool   `json:"stream"`
+	RequestID      string `json:"request_id"`
+	Priority       int    `json:"priority"`
+	Holder         string `json:"holder"`
+	Incarnation    uint64 `json:"incarnation"`
+	ReservedTokens int    `json:"reserved_tokens"`
+	GroupTokens    int    `json:"group_tokens"`
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var q completionRequest
+	if !decode(w, r, &q) {
+		return
+	}
+	if q.MaxTokens == 0 {
+		q.MaxTokens = defaultMaxTokens
+	}
+	s := &stream{
+		id: q.RequestID, holder: q.Holder, incarnation: q.Incarnation, priority: q.Priority, grouped: q.GroupTokens > 0,
+		prompt: (len(q.Prompt) + TokenBytes - 1) / TokenBytes,
+		prefix: PrefixOf(q.Prompt), blocks: blockHashes(q.Prompt),
+		text: Answer(q.RequestID, q.Model, max(0, q.MaxTokens)),
+	}
+	refused, fell := e.accept(time.Now(), &q, s)
+	switch {
+	case refused != nil:
+		refused.write(w)
+	case fell:
+		dropConnection()
+	default:
+		e.serveStream(w, r, s, 0)
+	}
+}
+
+// accept begins a stream or refuses the request. The second result says that a cold engine fell over.
+func (e *Engine) accept(now time.Time, q *completionRequest, s *stream) (*refusal, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, true
+	}
+	if f := e.check(q, s); f != nil {
+		e.counters.Refused++
+		return f, false
+	}
+	if _, again := e.ran[s.id]; again {
+		e.counters.Duplicates++
+	}
+	if len(e.ran) >= rememberedIDs {
+		clear(e.ran)
+	}
+	e.ran[s.id] = struct{}{}
+	e.arrivals++
+	e.counters.Accepted++
+	s.arrival = e.arrivals
+	s.cached = min(e.cache.lookup(s.prefix, s.blocks), s.prompt-1)
+	s.left = s.prompt - s.cached
+	e.counters.CachedTokens += s.cached
+	s.gone = now
+	e.used += s.tokens
+	e.streams[s.id] = s
+	at, _ := slices.BinarySearchFunc(e.prefill, s, func(a, b *stream) int {
+		if a.priority != b.priority {
+			return b.priority - a.priority
+		}
+		return -1
+	})
+	e.prefill = slices.Insert(e.prefill, at, s)
+	if e.tooColdFor(now) {
+		e.counters.ColdFalls++
+		e.crash()
+		return nil, true
+	}
+	e.poke()
+	return nil, false
+}
+
+// check returns the reason against running a request, or nil. It sets the memory that the stream holds: what the holder
+// reserved, or what the request needs where that is more.
+func (e *Engine) check(q *completionRequest, s *stream) *refusal {
+	need := s.prompt + q.MaxTokens - q.GroupTokens
+	s.tokens = max(q.ReservedTokens, need)
+	waiting := 0
+	for _, p := range e.prefill {
+		if !p.active {
+			waiting++
+		}
+	}
+	switch {
+	case !q.Stream || q.RequestID == "" || q.Prompt == "" || q.MaxTokens < 0 || q.ReservedTokens < 0 || q.GroupTokens < 0:
+		return badRequest("stream, request_id and prompt are required, numbers must not be negative")
+	case e.streams[q.RequestID] != nil:
+		e.counters.Duplicates++
+		return badRequest("a stream with this request_id exists")
+	case q.Model != e.model && !slices.Contains(e.adapters, q.Model):
+		return &refusal{http.StatusNotFound, "unknownModel", "model " + strconv.Quote(q.Model) + " is not loaded"}
+	case e.loading:
+		return &refusal{http.StatusServiceUnavailable, "cold", "a model is being loaded"}
+	case e.refuse || waiting >= e.cfg.MaxWaiting:
+		return &refusal{http.StatusServiceUnavailable, "overloaded", "too many requests wait"}
+	}
+	if q.ReservedTokens < need {
+		e.counters.Underestimate++
+	}
+	if free := e.cfg.KVTokens - e.used; s.tokens > free {
+		if q.ReservedTokens > free {
+			e.counters.Overcommits++
+		}
+		return &refusal{http.StatusConflict, "memory", fmt.Sprintf("%d tokens are free, %d are needed", free, s.tokens)}
+	}
+	return nil
+}
+
+type streamEvent struct {
+	Offset   int          `json:"offset"`
+	Text     string       `json:"text"`
+	Instance uint64       `json:"instance"`
+	End      bool         `json:"end,omitempty"`
+	Usage    *streamUsage `json:"usage,omitempty"`
+}
+
+type streamUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// serveStream sends the stream's events from a byte offset on until its end, or until another connection takes it over.
+func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request, s *stream, offset int) {
+	conn := &connection{notify: make(chan struct{}, 1)}
+	e.mu.Lock()
+	s.notify()
+	s.conn = conn
+	instance := e.instance
+	reset := e.resets > 0
+	if reset {
+		e.resets--
+	}
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		if s.conn == conn {
+			s.conn, s.gone = nil, time.Now()
+		}
+		e.mu.Unlock()
+	}()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	flusher.Flush()
+	send := func(ev streamEvent) {
+		data, _ := json.Marshal(ev)
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", ev.Offset, data)
+		flusher.Flush()
+	}
+	for {
+		e.mu.Lock()
+		state, published, replaced := s.state, s.published, s.conn != conn
+		e.mu.Unlock()
+		if state == streamCancelled || replaced {
+			dropConnection()
+		}
+		if offset < published {
+			send(streamEvent{Offset: offset, Text: s.text[offset:published], Instance: instance})
+			offset = published
+			if reset {
+				dropConnection()
+			}
+		}
+		if state == streamEnded {
+			usage := &streamUsage{PromptTokens: s.prompt, CachedTokens: s.cached, CompletionTokens: len(s.text) / TokenBytes}
+			send(streamEvent{Offset: offset, Instance: instance, End: true, Usage: usage})
+			return
+		}
+		select {
+		case <-conn.notify:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		badRequest("offset must be a number").write(w)
+		return
+	}
+	e.mu.Lock()
+	s := e.streams[r.PathValue("id")]
+	if s != nil && offset <= s.published {
+		e.counters.Resumed++
+	}
+	e.mu.Unlock()
+	switch {
+	case s == nil:
+		(&refusal{http.StatusNotFound, "unknownStream", "the stream is unknown or was cancelled"}).write(w)
+	case offset > len(s.text):
+		badRequest("offset is beyond the answer").write(w)
+	default:
+		e.serveStream(w, r, s, offset)
+	}
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	e.mu.Lock()
+	s, isStream := e.streams[id]
+	_, isReservation := e.reservations[id]
+	if isStream {
+		if s.state == streamRunning {
+			e.counters.Cancelled++
+		}
+		e.cancel(s)
+	}
+	if isReservation {
+		e.free(id)
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, struct {
+		Known bool `json:"known"`
+	}{isStream || isReservation})
+}
+
+func (e *Engine) free(id string) {
+	e.used -= e.reservations[id].tokens
+	delete(e.reservations, id)
+}
+
+func (e *Engine) serveCancelHolder(w http.ResponseWriter, r *http.Request) {
+	holder := r.URL.Query().Get("holder")
+	incarnation, err := strconv.ParseUint(r.URL.Query().Get("incarnation"), 10, 64)
+	if err != nil || holder == "" {
+		badRequest("holder and incarnation are required").write(w)
+		return
+	}
+	n := 0
+	e.mu.Lock()
+	for _, s := range e.streams {
+		if s.holder == holder && s.incarnation <= incarnation && s.state == streamRunning {
+			e.counters.Cancelled++
+			e.cancel(s)
+			n++
+		}
+	}
+	for id, v := range e.reservations {
+		if v.holder == holder && v.incarnation <= incarnation {
+			e.free(id)
+			n++
+		}
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, struct {
+		Cancelled int `json:"cancelled"`
+	}{n})
+}
+
+func (e *Engine) serveReserve(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		ID          string `json:"id"`
+		Holder      string `json:"holder"`
+		Incarnation uint64 `json:"incarnation"`
+		Tokens      int    `json:"tokens"`
+	}
+	if !decode(w, r, &q) {
+		return
+	}
+	if f := e.reserve(q.ID, reservation{holder: q.Holder, incarnation: q.Incarnation, tokens: q.Tokens, used: time.Now()}); f != nil {
+		f.write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// reserve holds memory for a stream on another engine. The same reservation again changes nothing.
+func (e *Engine) reserve(id string, v reservation) *refusal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old, known := e.reservations[id]
+	switch {
+	case id == "" || v.tokens <= 0:
+		return badRequest("id and tokens are required")
+	case known && old.tokens == v.tokens && old.holder == v.holder:
+		return nil
+	case known:
+		return badRequest("the reservation exists with other values")
+	case v.tokens > e.cfg.KVTokens-e.used:
+		e.counters.Overcommits++
+		return &refusal{http.StatusConflict, "memory", fmt.Sprintf("%d tokens are free", e.cfg.KVTokens-e.used)}
+	}
+	e.used += v.tokens
+	e.reservations[id] = &v
+	return nil
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := e.report
+	report.AgeMillis = time.Since(e.reported).Milliseconds()
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	e.mu.Lock()
+	events, next := e.cache.read(time.Now(), max(1, from))
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, struct {
+		Events []CacheEvent `json:"events"`
+		Next   uint64       `json:"next"`
+	}{events, next})
+}
+
+type engineOrder struct {
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Adapter string `json:"adapter"`
+	Role    string `json:"role"`
+	Fence   uint64 `json:"fence"`
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o engineOrder
+	if !decode(w, r, &o) {
+		return
+	}
+	e.mu.Lock()
+	f := e.order(o)
+	e.mu.Unlock()
+	if f != nil {
+		f.write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// order executes an order or refuses it. A model load takes effect after LoadTime.
+func (e *Engine) order(o engineOrder) *refusal {
+	if o.Fence < e.fence {
+		if e.cfg.ChecksFence {
+			e.counters.OldFences++
+			return &refusal{http.StatusConflict, "oldFence", fmt.Sprintf("the highest fence seen is %d", e.fence)}
+		}
+		e.counters.StaleOrders++
+	}
+	switch o.Kind {
+	case "loadModel":
+		if e.loading || e.closed {
+			return &refusal{http.StatusServiceUnavailable, "overloaded", "another model is being loaded"}
+		}
+		e.loading = true
+		e.wg.Add(1)
+		go func() {
+			defer e.wg.Done()
+			e.load(o)
+		}()
+	case "loadAdapter":
+		if !slices.Contains(e.adapters, o.Adapter) {
+			e.adapters = append(e.adapters, o.Adapter)
+		}
+	case "setVersion":
+		e.version = o.Version
+	case "setRole":
+		e.role = o.Role
+	default:
+		return badRequest("unknown kind " + strconv.Quote(o.Kind))
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.counters.Orders++
+	return nil
+}
+
+func (e *Engine) load(o engineOrder) {
+	if !e.sleep(e.cfg.LoadTime) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loading = false
+	e.model = o.Model
+	if o.Version != "" {
+		e.version = o.Version
+	}
+	e.adapters = nil
+	e.turnCold(time.Now())
+}
+
+// exportedKV is the body of an exported KV cache.
+type exportedKV struct {
+	Prefix string   `json:"prefix"`
+	Blocks []uint64 `json:"blocks"`
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s := e.streams[r.PathValue("id")]
+	e.mu.Unlock()
+	if s == nil {
+		(&refusal{http.StatusNotFound, "unknownStream", "the stream is unknown"}).write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, exportedKV{s.prefix, s.blocks})
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var kv exportedKV
+	if !decode(w, r, &kv) {
+		return
+	}
+	if strings.TrimSpace(kv.Prefix) == "" {
+		badRequest("not an exported KV cache").write(w)
+		return
+	}
+	e.mu.Lock()
+	e.cache.store(time.Now(), kv.Prefix, kv.Blocks)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// server runs one HTTP handler on a loopback address. It can be stopped and started again on the same port.
+type server struct {
+	handler http.Handler
+
+	mu      sync.Mutex
+	address string
+	http    *http.Server // nil while stopped
+}
+
+// newServer listens on address; port 0 selects a free port.
+func newServer(address string, handler http.Handler) (*server, error) {
+	s := &server{handler: handler, address: address}
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Address returns the IP address and port of the stand-in.
+func (s *server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Running says whether the stand-in listens.
+func (s *server) Running() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.http != nil
+}
+
+func (s *server) start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrap(err, "stand-in cannot listen")
+	}
+	s.address = ln.Addr().String()
+	srv := &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute}
+	s.http = srv
+	go srv.Serve(ln)
+	return nil
+}
+
+// stop closes the listener and resets every connection.
+func (s *server) stop() {
+	s.mu.Lock()
+	srv := s.http
+	s.http = nil
+	s.mu.Unlock()
+	if srv != nil {
+		srv.Close()
+	}
+}
+
+// dropConnection closes the connection of the running handler without an answer.
+func dropConnection() { panic(http.ErrAbortHandler) }
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+// Outage selects how a stand-in of the platform behaves.
+type Outage uint8
+
+const (
+	// OutageNone answers every call.
+	OutageNone Outage = iota
+	// OutageRefuse answers every call with 503.
+	OutageRefuse
+	// OutageSilent answers no call.
+	OutageSilent
+)
+
+// outageSwitch delays or refuses calls while an outage is set.
+type outageSwitch struct {
+	mu      sync.Mutex
+	mode    Outage
+	changed chan struct{}
+}
+
+// SetOutage changes the behaviour for calls that are open and calls to come.
+func (o *outageSwitch) SetOutage(mode Outage) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.mode = mode
+	if o.changed != nil {
+		close(o.changed)
+	}
+	o.changed = make(chan struct{})
+}
+
+func (o *outageSwitch) state() (Outage, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.changed == nil {
+		o.changed = make(chan struct{})
+	}
+	return o.mode, o.changed
+}
+
+// wrap returns a handler that calls next only outside an outage. A silent outage holds calls until the client gives up or
+// the outage ends, and then drops the connection.
+func (o *outageSwitch) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mode, changed := o.state()
+		switch mode {
+		case OutageRefuse:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case OutageSilent:
+			select {
+			case <-changed:
+			case <-r.Context().Done():
+			}
+			dropConnection()
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
