Add goldlab standins and the load generator

Claims about time to first token and about bookings need a generator that sends at intended times whatever became of earlier requests, and that verifies each answer against the text that the engine derives from the request ID. Keyed bookings are compared with what the service recorded.

--- /dev/null
+++ b/cmd/goldlab/load.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"goldcrestpath/standin"
+)
+
+// longestLoad bounds a load in time; longestRate bounds it in count.
+const (
+	longestLoad = 30 * time.Minute
+	longestRate = 2_000
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "sends an open-loop load to entry VMs and verifies every answer",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "target", Required: true, Usage: "callers' `ADDR` of an entry VM, repeated or separated by commas"},
+			&cli.StringSliceFlag{Name: "key", Required: true, Usage: "API `KEY` or NAME=KEY=WEIGHT of a customer; without weights each customer has half of the one before"},
+			&cli.StringFlag{Name: "model", Value: "small", Usage: "model to ask for"},
+			&cli.FloatFlag{Name: "rate", Value: 10, Usage: "prompts a second"},
+			&cli.FloatFlag{Name: "bookingRate", Value: 1, Usage: "keyed bookings a second"},
+			&cli.FloatFlag{Name: "doubled", Value: 0.2, Usage: "part of the bookings that are sent again to another VM"},
+			&cli.FloatFlag{Name: "seconds", Value: 30, Usage: "length of the load"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals"},
+			&cli.IntFlag{Name: "maxTokens", Value: 32, Usage: "longest answer in tokens"},
+			&cli.IntFlag{Name: "withoutLonger", Usage: "leave out prompts above this many tokens"},
+			&cli.StringFlag{Name: "out", Usage: "directory for the JSON report and SVG plots"},
+		},
+		Action: runLoad,
+	}
+}
+
+// parseCustomers reads the values of --key.
+func parseCustomers(keys []string) ([]standin.LoadCustomer, error) {
+	var all []standin.LoadCustomer
+	weight := 1.0
+	for i, k := range keys {
+		c := standin.LoadCustomer{Name: fmt.Sprintf("customer-%d", i+1), APIKey: k, Weight: weight}
+		if parts := strings.Split(k, "="); len(parts) == 3 {
+			w, err := strconv.ParseFloat(parts[2], 64)
+			if err != nil || w <= 0 {
+				return nil, errors.Errorf("--key %s: the weight must be a positive number", parts[0])
+			}
+			c = standin.LoadCustomer{Name: parts[0], APIKey: parts[1], Weight: w}
+		} else if len(parts) != 1 {
+			return nil, errors.New("--key takes KEY or NAME=KEY=WEIGHT")
+		}
+		all = append(all, c)
+		weight /= 2
+	}
+	return all, nil
+}
+
+// seconds turns a flag in seconds into a duration within the bounds of a load.
+func seconds(v float64) (time.Duration, error) {
+	d := time.Duration(v * float64(time.Second))
+	if d <= 0 || d > longestLoad {
+		return 0, errors.Errorf("--seconds must be above 0 and at most %.0f", longestLoad.Seconds())
+	}
+	return d, nil
+}
+
+func runLoad(ctx context.Context, cmd *cli.Command) error {
+	customers, err := parseCustomers(cmd.StringSlice("key"))
+	if err != nil {
+		return err
+	}
+	length, err := seconds(cmd.Float("seconds"))
+	if err != nil {
+		return err
+	}
+	if r := cmd.Float("rate"); r <= 0 || r > longestRate || cmd.Float("bookingRate") > longestRate {
+		return errors.Errorf("--rate must be above 0 and at most %d", longestRate)
+	}
+	cfg := standin.LoadConfig{
+		Rate: cmd.Float("rate"), Length: length, Seed: cmd.Uint64("seed"), Model: cmd.String("model"), Customers: customers,
+		ClassShares: standin.DefaultClassShares(), MaxTokens: cmd.Int("maxTokens"), SharedPrefix: sharedPrefixShare,
+		BookingRate: cmd.Float("bookingRate"), DoubledShare: cmd.Float("doubled"), WithoutLonger: cmd.Int("withoutLonger"),
+		// Keys outlive a run in the platform's log; a second run must not find the outcomes of the first.
+		KeyPrefix: fmt.Sprintf("load-%d-", time.Now().UnixNano()),
+	}
+	targets := cmd.StringSlice("target")
+	load, err := standin.NewLoad(cfg, standin.DefaultDeadlines(), os.Stderr, targets...)
+	if err != nil {
+		return err
+	}
+	outcomes := load.Run(ctx)
+	records, err := fetchBookings(ctx, targets[0], customers[0].APIKey)
+	if err != nil && cfg.BookingRate > 0 {
+		fmt.Fprintf(os.Stderr, "bookings cannot be verified: %v\n", err)
+	}
+	s := standin.Summarize("load", outcomes, standin.DefaultDeadlines(), records)
+	s.Write(cmd.Root().Writer)
+	if err := writeReport(cmd.String("out"), s); err != nil {
+		return err
+	}
+	if len(s.Violations) > 0 {
+		return errors.Errorf("%d violations", len(s.Violations))
+	}
+	return nil
+}
+
+// sharedPrefixShare is the part of the prompts that begin with one of their customer's common beginnings.
+const sharedPrefixShare = 0.5
+
+// fetchBookings reads what the booking service recorded, through an entry VM.
+func fetchBookings(ctx context.Context, target, apiKey string) ([]standin.BookingRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+"/services/booking/bookings", nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %d", resp.StatusCode)
+	}
+	var body struct {
+		Bookings []standin.BookingRecord `json:"bookings"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return nil, err
+	}
+	return body.Bookings, nil
+}
+
+// writeReport writes report.json and the plots of the summaries into dir. Without dir it does nothing.
+func writeReport(dir string, summaries ...standin.Summary) error {
+	if dir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(summaries, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.json"), append(data, '\n'), 0o644); err != nil {
+		return err
+	}
+	service := standin.Plot{Title: "Prompts answered whole and in time", XLabel: "seconds", YLabel: "share"}
+	for _, s := range summaries {
+		first := standin.Plot{Title: s.Name + ": time to first token", XLabel: "quantile", YLabel: "ms", LogY: true}
+		for _, c := range s.Curves {
+			first.Series = append(first.Series, standin.Series{Name: c.Name, X: c.Quantiles, Y: c.Millis})
+		}
+		if err := writePlot(dir, "ttft-"+s.Name, first); err != nil {
+			return err
+		}
+		line := standin.Series{Name: s.Name}
+		for _, sec := range s.Seconds {
+			at, _ := strconv.ParseFloat(sec.Name, 64)
+			line.X, line.Y = append(line.X, at), append(line.Y, sec.Share())
+		}
+		service.Series = append(service.Series, line)
+	}
+	return writePlot(dir, "service", service)
+}
+
+func writePlot(dir, name string, p standin.Plot) error {
+	f, err := os.Create(filepath.Join(dir, strings.ReplaceAll(name, " ", "-")+".svg"))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return p.Write(f)
+}
--- /dev/null
+++ b/standin/load.go
@@ -0,0 +1,420 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"goldcrestpath/customer"
+)
+
+const (
+	// overdueAfter is how long after its deadline a request must have finished or failed. It covers the client's own delays.
+	overdueAfter = time.Second
+	// giveUpAfter ends a request that is overdue.
+	giveUpAfter = 5 * time.Second
+	// readyEvery is the interval at which the balancer asks the VMs whether they are ready.
+	readyEvery = 250 * time.Millisecond
+	// longestEvent bounds a line of an answer.
+	longestEvent = 1 << 20
+)
+
+// Deadlines are the limits of a contract by length class.
+type Deadlines map[customer.Class]time.Duration
+
+// DefaultDeadlines returns the deadlines of the demo's contracts.
+func DefaultDeadlines() Deadlines {
+	return Deadlines{
+		customer.Short: 8 * time.Second, customer.Medium: 12 * time.Second, customer.Long: 20 * time.Second,
+		customer.VeryLong: 40 * time.Second,
+	}
+}
+
+// Status is the result of one request as its caller sees it.
+type Status uint8
+
+const (
+	// Answered means a whole answer of the request's own.
+	Answered Status = iota
+	// Refused means a failure with the verdict notRun.
+	Refused
+	// Failed means any other failure that was reported as such.
+	Failed
+	// Broken means an answer that ended without an end mark or a reported failure.
+	Broken
+	// Foreign means an answer that was reported as whole but is not the request's own.
+	Foreign
+)
+
+var statusNames = [...]string{"answered", "refused", "failed", "broken", "foreign"}
+
+// String returns the status as it stands in reports.
+func (s Status) String() string { return statusNames[s] }
+
+// Outcome is the result of one send.
+type Outcome struct {
+	Arrival   Arrival
+	RequestID string
+	Target    string
+	Status    Status
+	HTTP      int // status code, 0 without an answer
+	Reason    string
+	Verdict   string
+	Detail    string
+	Late      time.Duration // send after the intended time
+	First     time.Duration // first token after the intended time
+	Total     time.Duration // end after the intended time
+}
+
+// Load sends the arrivals of a LoadConfig at their intended times, whatever became of earlier ones, and verifies the answers.
+type Load struct {
+	cfg       LoadConfig
+	deadlines Deadlines
+	targets   []*loadTarget
+	client    *http.Client
+	progress  io.Writer
+
+	turn      atomic.Uint64
+	sent      atomic.Int64
+	done      atomic.Int64
+	answered  atomic.Int64
+	mu        sync.Mutex
+	outcomes  []Outcome
+	startedAt time.Time
+}
+
+type loadTarget struct {
+	address string
+	ready   atomic.Bool
+}
+
+// NewLoad returns a load against the callers' addresses of entry VMs. Progress lines go to progress, which may be nil.
+func NewLoad(cfg LoadConfig, deadlines Deadlines, progress io.Writer, addresses ...string) (*Load, error) {
+	if len(addresses) == 0 || len(cfg.Customers) == 0 {
+		return nil, errors.New("a load needs at least one target and one customer")
+	}
+	l := &Load{cfg: cfg, deadlines: deadlines, progress: progress, client: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 512,
+		DisableCompression:  true,
+	}}}
+	for _, a := range addresses {
+		if host, _, err := net.SplitHostPort(a); err != nil || !net.ParseIP(host).IsLoopback() {
+			return nil, errors.Errorf("target %q is not a loopback address with a port", a)
+		}
+		l.targets = append(l.targets, &loadTarget{address: a})
+	}
+	return l, nil
+}
+
+// Run sends the load and returns one outcome for each send. It ends when every request has ended.
+func (l *Load) Run(ctx context.Context) []Outcome {
+	defer l.client.CloseIdleConnections()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	l.askReady(ctx)
+	var background, requests sync.WaitGroup
+	background.Add(1)
+	go func() {
+		defer background.Done()
+		l.balance(ctx)
+	}()
+	l.startedAt = time.Now()
+	for _, a := range l.cfg.Arrivals() {
+		if !sleepUntil(ctx, l.startedAt.Add(a.At)) {
+			break
+		}
+		for _, at := range a.sends() {
+			requests.Add(1)
+			go func() {
+				defer requests.Done()
+				if sleepUntil(ctx, l.startedAt.Add(at)) {
+					l.send(ctx, a, at)
+				}
+			}()
+		}
+	}
+	requests.Wait()
+	stop()
+	background.Wait()
+	return l.outcomes
+}
+
+// sends returns the intended times of an arrival's sends.
+func (a Arrival) sends() []time.Duration {
+	if a.Doubled > 0 {
+		return []time.Duration{a.At, a.At + a.Doubled}
+	}
+	return []time.Duration{a.At}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// balance keeps the targets' readiness and writes progress lines.
+func (l *Load) balance(ctx context.Context) {
+	ticker := time.NewTicker(readyEvery)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		l.askReady(ctx)
+		if l.progress != nil && n%12 == 0 {
+			fmt.Fprintf(l.progress, "%.0f s of %.0f s: %d sent, %d ended, %d answered\n", time.Since(l.startedAt).Seconds(),
+				l.cfg.Length.Seconds(), l.sent.Load(), l.done.Load(), l.answered.Load())
+		}
+	}
+}
+
+func (l *Load) askReady(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, t := range l.targets {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+"/readyz", nil)
+			resp, err := l.client.Do(r)
+			if err == nil {
+				resp.Body.Close()
+			}
+			t.ready.Store(err == nil && resp.StatusCode == http.StatusOK)
+		}()
+	}
+	wg.Wait()
+}
+
+// pick returns the next ready target in turn, or the next one where none is ready.
+func (l *Load) pick() string {
+	n := l.turn.Add(1)
+	for i := range l.targets {
+		if t := l.targets[(n+uint64(i))%uint64(len(l.targets))]; t.ready.Load() {
+			return t.address
+		}
+	}
+	return l.targets[n%uint64(len(l.targets))].address
+}
+
+func (l *Load) deadline(a Arrival) time.Duration {
+	return l.deadlines[a.Class()]
+}
+
+// send makes one request and records its outcome.
+func (l *Load) send(ctx context.Context, a Arrival, at time.Duration) {
+	intended := l.startedAt.Add(at)
+	ctx, cancel := context.WithDeadline(ctx, intended.Add(l.deadline(a)+giveUpAfter))
+	defer cancel()
+	o := Outcome{Arrival: a, Target: l.pick(), Late: time.Since(intended)}
+	l.sent.Add(1)
+	var err error
+	if a.Booking {
+		err = l.book(ctx, &o)
+	} else {
+		err = l.complete(ctx, intended, &o)
+	}
+	o.Total = time.Since(intended)
+	if err != nil {
+		o.Detail = err.Error()
+	}
+	if o.Status == Answered {
+		l.answered.Add(1)
+	}
+	l.done.Add(1)
+	l.mu.Lock()
+	l.outcomes = append(l.outcomes, o)
+	l.mu.Unlock()
+}
+
+// post sends a body to a target. Where no connection can be made, it tries the other targets in turn, as a load balancer does.
+func (l *Load) post(ctx context.Context, o *Outcome, path string, body []byte, header http.Header) (*http.Response, error) {
+	for tries := 1; ; tries++ {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Target+path, bytes.NewReader(body))
+		if err != nil {
+			return nil, err
+		}
+		r.Header = header.Clone()
+		if o.Arrival.Booking {
+			// net/http repeats requests with an Idempotency-Key by itself; without GetBody it cannot.
+			r.GetBody = nil
+		}
+		r.Header.Set("Authorization", "Bearer "+o.Arrival.Customer.APIKey)
+		r.Header.Set("Content-Type", "application/json")
+		resp, err := l.client.Do(r)
+		var op *net.OpError
+		if err != nil && errors.As(err, &op) && op.Op == "dial" && tries < len(l.targets) {
+			o.Target = l.pick()
+			continue
+		}
+		if err != nil {
+			o.Status, o.Reason = Broken, "connection"
+			return nil, err
+		}
+		o.HTTP, o.RequestID = resp.StatusCode, resp.Header.Get("X-Request-Id")
+		return resp, nil
+	}
+}
+
+// wireError is the failure form of the callers' API.
+type wireError struct {
+	Error *struct {
+		Reason  string `json:"reason"`
+		Message string `json:"message"`
+		Verdict string `json:"verdict"`
+	} `json:"error"`
+}
+
+// fail records a reported failure.
+func (o *Outcome) fail(e wireError, header http.Header) {
+	o.Status = Failed
+	if e.Error != nil {
+		o.Reason, o.Verdict, o.Detail = e.Error.Reason, e.Error.Verdict, e.Error.Message
+	}
+	if o.Verdict == "" {
+		o.Verdict = header.Get("Goldcrest-Verdict")
+	}
+	if o.Reason == "" {
+		o.Reason = fmt.Sprintf("status %d", o.HTTP)
+	}
+	if o.Verdict == customer.NotRun.String() {
+		o.Status = Refused
+	}
+}
+
+func (l *Load) book(ctx context.Context, o *Outcome) error {
+	body := fmt.Appendf(nil, `{"room":%d,"customer":%q}`, o.Arrival.Number, o.Arrival.Customer.Name)
+	resp, err := l.post(ctx, o, "/services/booking/bookings", body, http.Header{"Idempotency-Key": {o.Arrival.Key}})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		o.Status, o.Reason = Broken, "connection"
+		return err
+	}
+	if resp.StatusCode/100 != 2 {
+		var e wireError
+		json.Unmarshal(data, &e)
+		o.fail(e, resp.Header)
+		return nil
+	}
+	var record BookingRecord
+	if err := json.Unmarshal(data, &record); err != nil || record.Key != o.Arrival.Key || record.Body != string(body) {
+		o.Status, o.Detail = Foreign, fmt.Sprintf("booking answered with %.200q", data)
+	}
+	return nil
+}
+
+// completionEvent is one event of a streamed completion.
+type completionEvent struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *streamUsage `json:"usage"`
+	wireError
+}
+
+func (l *Load) complete(ctx context.Context, intended time.Time, o *Outcome) error {
+	a := o.Arrival
+	body, err := json.Marshal(struct {
+		Model     string `json:"model"`
+		Prompt    string `json:"prompt"`
+		MaxTokens int    `json:"max_tokens"`
+		Stream    bool   `json:"stream"`
+	}{a.Model, a.Prompt(), a.MaxTokens, true})
+	if err != nil {
+		return err
+	}
+	resp, err := l.post(ctx, o, "/v1/completions", body, http.Header{"Accept": {"text/event-stream"}})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(io.LimitReader(resp.Body, longestEvent))
+		var e wireError
+		json.Unmarshal(data, &e)
+		o.fail(e, resp.Header)
+		return nil
+	}
+	var text strings.Builder
+	var usage *streamUsage
+	done := false
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, longestEvent)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			done = true
+			continue
+		}
+		var ev completionEvent
+		if err := json.Unmarshal(data, &ev); err != nil {
+			return o.broken(errors.Wrap(err, "event"))
+		}
+		if ev.Error != nil {
+			o.fail(ev.wireError, resp.Header)
+			return nil
+		}
+		if o.RequestID == "" {
+			o.RequestID = ev.ID
+		}
+		for _, c := range ev.Choices {
+			if c.Text != "" && o.First == 0 {
+				o.First = time.Since(intended)
+			}
+			text.WriteString(c.Text)
+		}
+		if ev.Usage != nil {
+			usage = ev.Usage
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return o.broken(err)
+	}
+	if !done {
+		return o.broken(errors.New("the answer ended without its end mark"))
+	}
+	switch want := Answer(o.RequestID, a.Model, a.MaxTokens); {
+	case text.String() != want:
+		o.Status = Foreign
+		return errors.Errorf("answer of %d bytes differs from the request's own of %d bytes", text.Len(), len(want))
+	case usage != nil && usage.PromptTokens != a.Tokens:
+		o.Status = Foreign
+		return errors.Errorf("the answer's usage tells of %d prompt tokens, %d were sent", usage.PromptTokens, a.Tokens)
+	}
+	return nil
+}
+
+func (o *Outcome) broken(err error) error {
+	o.Status, o.Reason = Broken, "connection"
+	return err
+}
--- /dev/null
+++ b/standin/load_test.go
@@ -0,0 +1,197 @@
+package standin_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"encoding/xml"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/standin"
+)
+
+func testLoad(length time.Duration) standin.LoadConfig {
+	return standin.LoadConfig{
+		Rate: 200, Length: length, Seed: 7, Model: "small", MaxTokens: 8, SharedPrefix: 0.5, BookingRate: 50, DoubledShare: 0.5,
+		Customers:   []standin.LoadCustomer{{Name: "large", APIKey: "k1", Weight: 3}, {Name: "little", APIKey: "k2", Weight: 1}},
+		ClassShares: standin.DefaultClassShares(),
+	}
+}
+
+// TestArrivals guards against a mix that differs from the stated one, and against a baseline without very long prompts in which
+// the other prompts are not the same.
+func TestArrivals(t *testing.T) {
+	cfg := testLoad(50 * time.Second)
+	all := cfg.Arrivals()
+	counts, large, prompts := map[customer.Class]float64{}, 0.0, 0.0
+	for _, a := range all {
+		if a.Booking {
+			continue
+		}
+		prompts++
+		counts[a.Class()]++
+		if a.Customer.Name == "large" {
+			large++
+		}
+	}
+	// Six standard deviations of the counts for this number of arrivals.
+	near := cmpopts.EquateApprox(0, 0.03)
+	got := map[customer.Class]float64{}
+	for c, n := range counts {
+		got[c] = n / prompts
+	}
+	if diff := cmp.Diff(standin.DefaultClassShares(), got, near); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]float64{10_000, 0.75}, []float64{prompts, large / prompts}, cmpopts.EquateApprox(0.06, 0.03)); diff != "" {
+		t.Error(diff)
+	}
+	cfg.WithoutLonger = 100_000
+	fewer := cfg.Arrivals()
+	kept := slices.DeleteFunc(all, func(a standin.Arrival) bool { return a.Tokens > 100_000 })
+	ignore := cmpopts.IgnoreFields(standin.Arrival{}, "Number")
+	if diff := cmp.Diff(kept, fewer, ignore, cmpopts.IgnoreUnexported(standin.Arrival{})); diff != "" {
+		t.Error(diff)
+	}
+	for _, a := range fewer[:20] {
+		if n := len(a.Prompt()); !a.Booking && n != a.Tokens*standin.TokenBytes {
+			t.Errorf("prompt of %d tokens has %d bytes", a.Tokens, n)
+		}
+	}
+}
+
+// fakeVM answers completions with answer, which gets the request ID and the request's own text.
+func fakeVM(t *testing.T, answer func(w http.ResponseWriter, id, text string)) string {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(http.ResponseWriter, *http.Request) {})
+	var n atomic.Int64
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
+		var q struct {
+			Model     string
+			MaxTokens int `json:"max_tokens"`
+		}
+		json.NewDecoder(r.Body).Decode(&q)
+		id := fmt.Sprintf("r%d", n.Add(1))
+		w.Header().Set("X-Request-Id", id)
+		answer(w, id, standin.Answer(id, q.Model, q.MaxTokens))
+	})
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+func event(w io.Writer, text string) {
+	data, _ := json.Marshal(map[string]any{"choices": []map[string]any{{"text": text}}})
+	fmt.Fprintf(w, "data: %s\n\n", data)
+}
+
+// TestLoadVerifies guards against a generator that counts a partial, foreign or refused answer as answered.
+func TestLoadVerifies(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		answer    func(w http.ResponseWriter, id, text string)
+		status    standin.Status
+		reason    string
+		violation bool
+	}{
+		{"whole", func(w http.ResponseWriter, _, text string) {
+			event(w, text[:4])
+			event(w, text[4:])
+			fmt.Fprint(w, "data: [DONE]\n\n")
+		}, standin.Answered, "", false},
+		{"without end mark", func(w http.ResponseWriter, _, text string) { event(w, text) }, standin.Broken, "connection", false},
+		{"another request's", func(w http.ResponseWriter, _, text string) {
+			event(w, "x"+text[1:])
+			fmt.Fprint(w, "data: [DONE]\n\n")
+		}, standin.Foreign, "", true},
+		{"refused", func(w http.ResponseWriter, _, _ string) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			fmt.Fprint(w, `{"error":{"reason":"tokenRate","verdict":"notRun"}}`)
+		}, standin.Refused, "tokenRate", false},
+		{"failed in mid answer", func(w http.ResponseWriter, _, text string) {
+			event(w, text[:4])
+			fmt.Fprint(w, `data: {"error":{"reason":"endpointFailed","verdict":"mayHaveRun"}}`+"\n\n")
+		}, standin.Failed, "endpointFailed", false},
+	} {
+		cfg := testLoad(100 * time.Millisecond)
+		cfg.BookingRate, cfg.ClassShares = 0, map[customer.Class]float64{customer.Short: 1}
+		load, err := standin.NewLoad(cfg, standin.DefaultDeadlines(), nil, fakeVM(t, c.answer))
+		if err != nil {
+			t.Fatal(err)
+		}
+		outcomes := load.Run(t.Context())
+		if len(outcomes) != len(cfg.Arrivals()) {
+			t.Errorf("%s: %d outcomes for %d arrivals", c.name, len(outcomes), len(cfg.Arrivals()))
+		}
+		for _, o := range outcomes {
+			if o.Status != c.status || o.Reason != c.reason {
+				t.Errorf("%s: %v %q (%s), want %v %q", c.name, o.Status, o.Reason, o.Detail, c.status, c.reason)
+				break
+			}
+		}
+		s := standin.Summarize(c.name, outcomes, standin.DefaultDeadlines(), nil)
+		if got := len(s.Violations) > 0; got != c.violation {
+			t.Errorf("%s: violations %v", c.name, s.Violations)
+		}
+	}
+}
+
+// TestSummarizeBookings guards against a report that overlooks a booking that ran twice, or against its verdict.
+func TestSummarizeBookings(t *testing.T) {
+	key := standin.Arrival{Booking: true, Key: "k"}
+	answered := standin.Outcome{Arrival: key, Status: standin.Answered}
+	refused := standin.Outcome{Arrival: key, Status: standin.Refused, Verdict: "notRun"}
+	failed := standin.Outcome{Arrival: key, Status: standin.Failed, Verdict: "mayHaveRun"}
+	for _, c := range []struct {
+		name     string
+		outcomes []standin.Outcome
+		ran      int
+		want     string // start of the violation
+	}{
+		{"once", []standin.Outcome{answered, refused}, 1, ""},
+		{"unknown", []standin.Outcome{failed}, 1, ""},
+		{"twice", []standin.Outcome{answered, answered}, 2, "invariant 7"},
+		{"refused but ran", []standin.Outcome{refused, refused}, 1, "invariant 6"},
+		{"answered but not run", []standin.Outcome{answered}, 0, "invariant 5"},
+	} {
+		records := []standin.BookingRecord{}
+		for range c.ran {
+			records = append(records, standin.BookingRecord{Key: "k"})
+		}
+		s := standin.Summarize(c.name, c.outcomes, standin.DefaultDeadlines(), records)
+		if got := strings.Join(s.Violations, " "); !strings.HasPrefix(got, c.want) || (c.want == "") != (got == "") {
+			t.Errorf("%s: violations %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// TestPlot guards against plots that are not well-formed.
+func TestPlot(t *testing.T) {
+	for _, p := range []standin.Plot{
+		{Title: "empty <&>"},
+		{Title: "log", LogY: true, Series: []standin.Series{{Name: "a<b", X: []float64{0, 1}, Y: []float64{0, 10}}}},
+	} {
+		var b bytes.Buffer
+		if err := p.Write(&b); err != nil {
+			t.Fatal(err)
+		}
+		var v struct{}
+		if err := xml.Unmarshal(b.Bytes(), &v); err != nil {
+			t.Errorf("%s: %v", p.Title, err)
+		}
+		if strings.Contains(b.String(), "NaN") {
+			t.Errorf("%s: NaN in the plot", p.Title)
+		}
+	}
+}
--- /dev/null
+++ b/standin/schedule.go
@@ -0,0 +1,166 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"goldcrestpath/customer"
+)
+
+// LoadCustomer is one customer of a load.
+type LoadCustomer struct {
+	Name   string
+	APIKey string
+	Weight float64 // part of the arrivals, relative to the other customers
+}
+
+// LoadConfig describes the arrivals of a load. The same values give the same arrivals.
+type LoadConfig struct {
+	Rate      float64 // prompts a second over all customers
+	Length    time.Duration
+	Seed      uint64
+	Model     string
+	Customers []LoadCustomer
+
+	ClassShares   map[customer.Class]float64 // parts of the prompts by length class
+	MaxTokens     int                        // longest answer; answers have at least a quarter of it
+	SharedPrefix  float64                    // part of the prompts that begin like earlier ones
+	BookingRate   float64                    // keyed bookings a second
+	KeyPrefix     string                     // begins the keys of bookings
+	DoubledShare  float64                    // part of the bookings that are sent a second time to another VM
+	Surge         Surge
+	WithoutLonger int // prompts above this many tokens are left out, all others stay the same; 0 leaves out none
+}
+
+// Surge multiplies the arrivals of one customer for a part of the load.
+type Surge struct {
+	Customer string
+	Factor   float64
+	From, To time.Duration
+}
+
+// DefaultClassShares returns the mix of prompt lengths with one prompt in fifty above 100,000 tokens.
+func DefaultClassShares() map[customer.Class]float64 {
+	return map[customer.Class]float64{customer.Short: 0.70, customer.Medium: 0.20, customer.Long: 0.08, customer.VeryLong: 0.02}
+}
+
+// Prompt lengths by class in tokens; within a class the logarithm is uniformly distributed.
+var classLengths = map[customer.Class][2]int{
+	customer.Short:    {1_000, 1_999},
+	customer.Medium:   {2_000, 15_999},
+	customer.Long:     {16_000, 100_000},
+	customer.VeryLong: {100_001, 1_000_000},
+}
+
+// sharedPrefixes is the number of prompt beginnings of each customer, and sharedPrefixTokens the length of one.
+const (
+	sharedPrefixes     = 8
+	sharedPrefixTokens = 512
+)
+
+// Arrival is one prompt or booking of a load.
+type Arrival struct {
+	At        time.Duration // intended send time from the start of the load
+	Number    int
+	Customer  LoadCustomer
+	Booking   bool
+	Key       string        // Idempotency-Key of a booking
+	Doubled   time.Duration // a booking is sent again this long after At; 0 for never
+	Model     string
+	Tokens    int // length of the prompt
+	MaxTokens int
+	Prefix    int // number of the shared beginning, or -1
+	seed      uint64
+}
+
+// Class returns the arrival's length class.
+func (a Arrival) Class() customer.Class { return customer.ClassOf(a.Tokens) }
+
+// Prompt returns the arrival's prompt, which differs from every other one after the shared beginning.
+func (a Arrival) Prompt() string {
+	var b strings.Builder
+	b.Grow(a.Tokens * TokenBytes)
+	if a.Prefix >= 0 {
+		b.WriteString(Answer(fmt.Sprintf("prefix %d", a.Prefix), a.Customer.Name, min(a.Tokens, sharedPrefixTokens)))
+	}
+	// Long prompts repeat a random block, which costs the generator less than a million random tokens.
+	block := Answer(fmt.Sprintf("prompt %d %d", a.seed, a.Number), a.Model, 1_021)
+	for b.Len()+len(block) <= a.Tokens*TokenBytes {
+		b.WriteString(block)
+	}
+	b.WriteString(block[:a.Tokens*TokenBytes-b.Len()])
+	return b.String()
+}
+
+// Arrivals returns the load's arrivals in the order of their times: a Poisson process for each customer's prompts and one for
+// bookings. Each process has a random source of its own, so that a change of one leaves the others as they are.
+func (cfg LoadConfig) Arrivals() []Arrival {
+	var all []Arrival
+	sum := 0.0
+	for _, c := range cfg.Customers {
+		sum += c.Weight
+	}
+	for i, c := range cfg.Customers {
+		random := rand.New(rand.NewPCG(cfg.Seed, uint64(i)))
+		rate := cfg.Rate * c.Weight / sum
+		for at := next(random, 0, rate); at < cfg.Length; at = next(random, at, rate) {
+			all = cfg.appendPrompt(all, random, c, at)
+		}
+		if s := cfg.Surge; s.Customer == c.Name && s.Factor > 1 {
+			extra := rand.New(rand.NewPCG(cfg.Seed, uint64(i)|1<<32))
+			for at := next(extra, s.From, rate*(s.Factor-1)); at < min(s.To, cfg.Length); at = next(extra, at, rate*(s.Factor-1)) {
+				all = cfg.appendPrompt(all, extra, c, at)
+			}
+		}
+	}
+	random, bookings := rand.New(rand.NewPCG(cfg.Seed, 1<<40)), 0
+	for at := next(random, 0, cfg.BookingRate); at < cfg.Length; at = next(random, at, cfg.BookingRate) {
+		a := Arrival{At: at, Customer: cfg.Customers[random.IntN(len(cfg.Customers))], Booking: true}
+		a.Key = fmt.Sprintf("%s%d-%d", cfg.KeyPrefix, cfg.Seed, bookings)
+		bookings++
+		if random.Float64() < cfg.DoubledShare {
+			a.Doubled = time.Duration(1 + random.IntN(int(100*time.Millisecond)))
+		}
+		all = append(all, a)
+	}
+	slices.SortStableFunc(all, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	for i := range all {
+		all[i].Number = i
+	}
+	return all
+}
+
+// next returns the time of the next arrival of a Poisson process.
+func next(random *rand.Rand, after time.Duration, rate float64) time.Duration {
+	if rate <= 0 {
+		return math.MaxInt64
+	}
+	return after + time.Duration(random.ExpFloat64()/rate*float64(time.Second))
+}
+
+func (cfg LoadConfig) appendPrompt(all []Arrival, random *rand.Rand, c LoadCustomer, at time.Duration) []Arrival {
+	a := Arrival{At: at, Customer: c, Model: cfg.Model, Prefix: -1, seed: cfg.Seed}
+	class, x := customer.Short, random.Float64()
+	for _, k := range customer.Classes() {
+		if x -= cfg.ClassShares[k]; x < 0 {
+			class = k
+			break
+		}
+	}
+	bounds := classLengths[class]
+	low, high := math.Log(float64(bounds[0])), math.Log(float64(bounds[1]+1))
+	a.Tokens = min(bounds[1], int(math.Exp(low+random.Float64()*(high-low))))
+	a.MaxTokens = max(1, cfg.MaxTokens/4+random.IntN(max(1, cfg.MaxTokens*3/4)))
+	if random.Float64() < cfg.SharedPrefix {
+		a.Prefix = random.IntN(sharedPrefixes)
+	}
+	if cfg.WithoutLonger > 0 && a.Tokens > cfg.WithoutLonger {
+		return all
+	}
+	return append(all, a)
+}
--- /dev/null
+++ b/standin/summary.go
@@ -0,0 +1,260 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"goldcrestpath/customer"
+)
+
+// Bounds of the recorded times in microseconds, with three significant digits.
+const (
+	shortestTime = 1
+	longestTime  = int64(10 * time.Minute / time.Microsecond)
+	timeDigits   = 3
+)
+
+// Summary is the result of one load.
+type Summary struct {
+	Name       string          `json:"name"`
+	Classes    []ClassSummary  `json:"classes"`
+	Customers  []ServiceShare  `json:"customers"`
+	Seconds    []ServiceShare  `json:"seconds"` // by intended send time
+	Failures   []FailureCount  `json:"failures"`
+	Bookings   BookingSummary  `json:"bookings"`
+	LatestSend float64         `json:"latestSendMillis"` // largest delay of a send after its intended time
+	Violations []string        `json:"violations"`
+	Curves     []QuantileCurve `json:"-"`
+}
+
+// ServiceShare counts the prompts of one group.
+type ServiceShare struct {
+	Name     string `json:"name"`
+	Asked    int    `json:"asked"`
+	Answered int    `json:"answered"` // whole
+	InTime   int    `json:"inTime"`   // whole and within the deadline
+}
+
+func (s *ServiceShare) add(o Outcome, inTime bool) {
+	s.Asked++
+	if o.Status == Answered {
+		s.Answered++
+	}
+	if inTime {
+		s.InTime++
+	}
+}
+
+// Share returns the part of the prompts that were answered whole and in time.
+func (s ServiceShare) Share() float64 {
+	if s.Asked == 0 {
+		return 0
+	}
+	return float64(s.InTime) / float64(s.Asked)
+}
+
+// ClassSummary holds the times to first token of one length class in milliseconds.
+type ClassSummary struct {
+	ServiceShare
+	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+	Max  float64 `json:"max"`
+}
+
+// FailureCount counts sends with one result.
+type FailureCount struct {
+	Kind    string `json:"kind"` // prompt or booking
+	Status  string `json:"status"`
+	Reason  string `json:"reason"`
+	Verdict string `json:"verdict"`
+	Count   int    `json:"count"`
+}
+
+// BookingSummary compares what callers asked for with what the service recorded.
+type BookingSummary struct {
+	Asked    int `json:"asked"`    // keys
+	Sends    int `json:"sends"`    // with doubled ones
+	Answered int `json:"answered"` // keys with at least one success
+	Recorded int `json:"recorded"` // bookings that ran
+	Doubles  int `json:"doubles"`  // bookings that ran beyond the first of their key
+}
+
+// QuantileCurve is the distribution of a class's times to first token.
+type QuantileCurve struct {
+	Name      string
+	Quantiles []float64 // 0 to 1
+	Millis    []float64
+}
+
+// Summarize evaluates the outcomes of a load. Records are the bookings that ran, or nil where they cannot be known.
+func Summarize(name string, outcomes []Outcome, deadlines Deadlines, records []BookingRecord) Summary {
+	s := Summary{Name: name, Violations: []string{}}
+	histograms := map[customer.Class]*hdrhistogram.Histogram{}
+	classes := map[customer.Class]*ClassSummary{}
+	for _, c := range customer.Classes() {
+		histograms[c] = hdrhistogram.New(shortestTime, longestTime, timeDigits)
+		classes[c] = &ClassSummary{ServiceShare: ServiceShare{Name: c.String()}}
+	}
+	customers, seconds := map[string]*ServiceShare{}, map[string]*ServiceShare{}
+	failures := map[FailureCount]int{}
+	for _, o := range outcomes {
+		s.LatestSend = max(s.LatestSend, millis(o.Late))
+		kind, limit := "prompt", deadlines[o.Arrival.Class()]
+		if o.Arrival.Booking {
+			kind = "booking"
+		}
+		if o.Status != Answered {
+			failures[FailureCount{Kind: kind, Status: o.Status.String(), Reason: o.Reason, Verdict: o.Verdict}]++
+		}
+		s.violation(o, limit)
+		if o.Arrival.Booking {
+			continue
+		}
+		inTime := o.Status == Answered && o.Total <= limit
+		class := o.Arrival.Class()
+		classes[class].add(o, inTime)
+		group(customers, o.Arrival.Customer.Name).add(o, inTime)
+		group(seconds, fmt.Sprintf("%04d", int(o.Arrival.At.Seconds()))).add(o, inTime)
+		if o.First > 0 {
+			histograms[class].RecordValue(min(longestTime, max(shortestTime, o.First.Microseconds())))
+		}
+	}
+	for _, class := range customer.Classes() {
+		c, h := classes[class], histograms[class]
+		at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		c.P50, c.P90, c.P99, c.P999, c.Max = at(50), at(90), at(99), at(99.9), at(100)
+		s.Classes = append(s.Classes, *c)
+		s.Curves = append(s.Curves, curve(class.String(), h))
+	}
+	s.Customers, s.Seconds = groups(customers), groups(seconds)
+	for f, n := range failures {
+		f.Count = n
+		s.Failures = append(s.Failures, f)
+	}
+	slices.SortFunc(s.Failures, func(a, b FailureCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Kind+a.Status+a.Reason, b.Kind+b.Status+b.Reason))
+	})
+	s.bookings(outcomes, records)
+	return s
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func group(m map[string]*ServiceShare, name string) *ServiceShare {
+	if m[name] == nil {
+		m[name] = &ServiceShare{Name: name}
+	}
+	return m[name]
+}
+
+func groups(m map[string]*ServiceShare) []ServiceShare {
+	all := []ServiceShare{}
+	for _, s := range m {
+		all = append(all, *s)
+	}
+	slices.SortFunc(all, func(a, b ServiceShare) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+func curve(name string, h *hdrhistogram.Histogram) QuantileCurve {
+	c := QuantileCurve{Name: name}
+	if h.TotalCount() == 0 {
+		return c
+	}
+	for q := 0.0; q < 0.9995; q += max(0.0005, (1-q)/20) {
+		c.Quantiles = append(c.Quantiles, q)
+		c.Millis = append(c.Millis, float64(h.ValueAtQuantile(q*100))/1000)
+	}
+	return c
+}
+
+// violation records an outcome that breaks an invariant of the design page, section 2.2.
+func (s *Summary) violation(o Outcome, limit time.Duration) {
+	switch {
+	case o.Status == Foreign:
+		s.Violations = append(s.Violations, fmt.Sprintf("invariant 5: request %s: %s", o.RequestID, o.Detail))
+	case !o.Arrival.Booking && o.Total > limit+overdueAfter:
+		s.Violations = append(s.Violations, fmt.Sprintf("invariant 1: request %s of %d tokens %s after %v, its deadline is %v",
+			o.RequestID, o.Arrival.Tokens, o.Status, o.Total.Round(time.Millisecond), limit))
+	}
+}
+
+// bookings checks that each key ran at most once and that no refused booking ran.
+func (s *Summary) bookings(outcomes []Outcome, records []BookingRecord) {
+	type keyed struct{ sends, answered, refused, ran int }
+	keys := map[string]*keyed{}
+	for _, o := range outcomes {
+		if !o.Arrival.Booking {
+			continue
+		}
+		k := keys[o.Arrival.Key]
+		if k == nil {
+			k = &keyed{}
+			keys[o.Arrival.Key] = k
+			s.Bookings.Asked++
+		}
+		s.Bookings.Sends++
+		k.sends++
+		switch o.Status {
+		case Answered:
+			k.answered++
+		case Refused:
+			k.refused++
+		}
+	}
+	for _, r := range records {
+		if k := keys[r.Key]; k != nil {
+			k.ran++
+			s.Bookings.Recorded++
+		}
+	}
+	for key, k := range keys {
+		if k.answered > 0 {
+			s.Bookings.Answered++
+		}
+		s.Bookings.Doubles += max(0, k.ran-1)
+		switch {
+		case records == nil:
+		case k.ran > 1:
+			s.Violations = append(s.Violations, fmt.Sprintf("invariant 7: booking %s ran %d times", key, k.ran))
+		case k.ran > 0 && k.refused == k.sends:
+			s.Violations = append(s.Violations, fmt.Sprintf("invariant 6: booking %s ran, but every send was answered notRun", key))
+		case k.ran == 0 && k.answered > 0:
+			s.Violations = append(s.Violations, fmt.Sprintf("invariant 5: booking %s was answered, but did not run", key))
+		}
+	}
+}
+
+// Write prints the summary as tables.
+func (s Summary) Write(w io.Writer) {
+	fmt.Fprintf(w, "%s\n", s.Name)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "prompt length\tasked\twhole\tin time\tTTFT p50 ms\tp90\tp99\tp99.9\tmax\t\n")
+	for _, c := range s.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", c.Name, c.Asked, c.Answered, c.InTime, c.P50, c.P90,
+			c.P99, c.P999, c.Max)
+	}
+	t.Flush()
+	if len(s.Failures) > 0 {
+		fmt.Fprint(t, "not answered\tresult\treason\tverdict\tcount\t\n")
+		for _, f := range s.Failures {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t\n", f.Kind, f.Status, cmp.Or(f.Reason, "-"), cmp.Or(f.Verdict, "-"), f.Count)
+		}
+		t.Flush()
+	}
+	if b := s.Bookings; b.Asked > 0 {
+		fmt.Fprintf(w, "bookings: %d asked in %d sends, %d answered, %d recorded, %d ran twice\n", b.Asked, b.Sends, b.Answered,
+			b.Recorded, b.Doubles)
+	}
+	for _, v := range s.Violations {
+		fmt.Fprintf(w, "VIOLATION %s\n", v)
+	}
+}
