Add the demo and experiment harness of goldlab

The comparisons with both baselines need the same stand-ins, configuration files, load and invariant checks in every run. A lab runs them in one process and drives the entry VMs through a small Site interface. A fake site that breaks one invariant at a time shows that the checks find each of them.

--- /dev/null
+++ b/cmd/goldlab/lab_test.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/standin"
+)
+
+// fakeSite stands in for the entry VMs: it sends prompts to engines in turn, whatever they hold, and each booking key once.
+type fakeSite struct {
+	lab     *lab
+	fault   string // name of the invariant that the site breaks, or ""
+	servers []*httptest.Server
+
+	mu      sync.Mutex
+	n       int
+	drained map[string]bool
+	claims  map[string][]byte
+}
+
+func startFakeSite(l *lab, fault string) (Site, error) {
+	f := &fakeSite{lab: l, fault: fault, drained: map[string]bool{}, claims: map[string][]byte{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /v1/completions", f.complete)
+	mux.HandleFunc("POST /services/booking/bookings", f.book)
+	for _, p := range l.places {
+		ln, err := net.Listen("tcp", p.caller)
+		if err != nil {
+			return nil, err
+		}
+		s := &httptest.Server{Listener: ln, Config: &http.Server{Handler: mux}}
+		s.Start()
+		f.servers = append(f.servers, s)
+	}
+	return f, nil
+}
+
+func (f *fakeSite) Start(string) error                       { return nil }
+func (f *fakeSite) Stop(context.Context, string, bool) error { return nil }
+
+func (f *fakeSite) Callers(string) []string {
+	var all []string
+	for _, p := range f.lab.places {
+		all = append(all, p.caller)
+	}
+	return all
+}
+
+func (f *fakeSite) SetDrained(_ context.Context, target string, drained bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drained[strings.TrimPrefix(target, "dataCentre/")] = drained && f.fault != "drain"
+	return nil
+}
+
+func (f *fakeSite) Close() {
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
+
+// choose returns the next engine outside drained data centres and a new request ID.
+func (f *fakeSite) choose() (*standin.Engine, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for {
+		f.n++
+		dc := f.lab.cfg.dataCentres[f.n%len(f.lab.cfg.dataCentres)]
+		if !f.drained[dc] {
+			return f.lab.engines[dc][f.n/3%len(f.lab.engines[dc])], fmt.Sprintf("r%d", f.n)
+		}
+	}
+}
+
+func (f *fakeSite) complete(w http.ResponseWriter, r *http.Request) {
+	var q map[string]any
+	json.NewDecoder(r.Body).Decode(&q)
+	e, id := f.choose()
+	tokens := len(q["prompt"].(string))/standin.TokenBytes + int(q["max_tokens"].(float64))
+	w.Header().Set("X-Request-Id", id)
+	q["request_id"], q["holder"], q["reserved_tokens"] = id, "fake", tokens
+	if f.fault != "overcommit" {
+		q["group_tokens"] = max(0, tokens-1000)
+		q["reserved_tokens"] = tokens - q["group_tokens"].(int)
+	}
+	body, _ := json.Marshal(q)
+	resp, err := http.Post("http://"+e.Address()+"/v1/completions", "application/json", bytes.NewReader(body))
+	if err != nil || f.fault == "notRun" && tokens > 1_500 { // the first prompt of a lab is shorter
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprint(w, `{"error":{"reason":"noEndpoint","verdict":"notRun"}}`)
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		w.WriteHeader(resp.StatusCode)
+		io.Copy(w, resp.Body)
+		return
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var ev struct {
+			Text string
+			End  bool
+		}
+		json.Unmarshal([]byte(data), &ev)
+		if ev.End {
+			fmt.Fprint(w, "data: [DONE]\n\n")
+			continue
+		}
+		out, _ := json.Marshal(map[string]any{"choices": []map[string]any{{"text": ev.Text}}})
+		fmt.Fprintf(w, "data: %s\n\n", out)
+		http.NewResponseController(w).Flush()
+	}
+}
+
+func (f *fakeSite) book(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := r.Header.Get("Idempotency-Key")
+	answer, known := f.claims[key]
+	if !known || f.fault == "booking" {
+		b := f.lab.bookings[f.lab.cfg.dataCentres[0]][0]
+		out, _ := http.NewRequest(http.MethodPost, "http://"+b.Address()+"/bookings", r.Body)
+		out.Header = r.Header
+		resp, err := http.DefaultClient.Do(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer resp.Body.Close()
+		answer, _ = io.ReadAll(resp.Body)
+		f.claims[key] = answer
+	}
+	w.WriteHeader(http.StatusCreated)
+	w.Write(answer)
+}
+
+// TestLabFindsViolations guards against a demo that passes although an invariant was broken, or fails although none was.
+func TestLabFindsViolations(t *testing.T) {
+	defer func(f func(context.Context, *lab) (Site, error)) { newSite = f }(newSite)
+	for _, c := range []struct{ fault, want string }{
+		{"", ""}, {"booking", "invariant 7"}, {"notRun", "invariant 6"}, {"overcommit", "invariant 2"}, {"drain", "invariant 4"},
+	} {
+		newSite = func(_ context.Context, l *lab) (Site, error) { return startFakeSite(l, c.fault) }
+		cfg := newLabConfig("affinity")
+		cfg.timeScale, cfg.enginesPerSite = 1000, 1
+		l, err := startLab(t.Context(), cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		load := l.load(0, time.Second, 1)
+		load.Rate, load.BookingRate, load.DoubledShare = 100, 50, 0.5
+		load.WithoutLonger = 600_000
+		load.ClassShares = map[customer.Class]float64{customer.Short: 0.97, customer.VeryLong: 0.03}
+		var check drainCheck
+		first, last := check.events(l, "jm-a", 400*time.Millisecond, 800*time.Millisecond)
+		r, err := l.run(t.Context(), c.fault, load, nil, event{200 * time.Millisecond, l.setDrained("jm-a", true)}, first, last)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.violate(check.begun(), 0, "invariant 4: %d requests began in the drained data centre")
+		got := strings.Join(r.summary.Violations, "\n")
+		if !strings.HasPrefix(got, c.want) || (c.want == "") != (got == "") {
+			t.Errorf("fault %q: violations %q, want %q", c.fault, got, c.want)
+		}
+		l.close()
+	}
+}
+
+// TestLabFiles guards against configuration files that the parsers reject.
+func TestLabFiles(t *testing.T) {
+	defer func(f func(context.Context, *lab) (Site, error)) { newSite = f }(newSite)
+	newSite = func(_ context.Context, l *lab) (Site, error) { return startFakeSite(l, "") }
+	l, err := startLab(t.Context(), newLabConfig("affinity"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	for _, c := range l.cfg.customers {
+		if _, err := customer.ParseContract(c.load.Name, []byte(l.contract(c))); err != nil {
+			t.Error(err)
+		}
+	}
+	if s := l.settings(l.places[0]) + l.fleet(); strings.Contains(s, "= \n") {
+		t.Errorf("a value is empty:\n%s", s)
+	}
+}
--- a/cmd/goldlab/load.go
+++ b/cmd/goldlab/load.go
@@ -103,7 +103,7 @@
 	if err != nil && cfg.BookingRate > 0 {
 		fmt.Fprintf(os.Stderr, "bookings cannot be verified: %v\n", err)
 	}
-	s := standin.Summarize("load", outcomes, standin.DefaultDeadlines(), records)
+	s := standin.Summarize("load", outcomes, records)
 	s.Write(cmd.Root().Writer)
 	if err := writeReport(cmd.String("out"), s); err != nil {
 		return err
--- a/cmd/goldlab/main.go
+++ b/cmd/goldlab/main.go
@@ -24,6 +24,6 @@
 	return &cli.Command{
 		Name:     "goldlab",
 		Usage:    "runs stand-ins, loads, demos and experiments for goldcrest",
-		Commands: []*cli.Command{standinsCommand(), loadCommand()},
+		Commands: []*cli.Command{standinsCommand(), loadCommand(), demoCommand(), experimentCommand()},
 	}
 }
--- a/standin/schedule.go
+++ b/standin/schedule.go
@@ -63,6 +63,16 @@
 	sharedPrefixTokens = 512
 )
 
+// MeanTokens returns the expected length of a prompt in tokens.
+func (cfg LoadConfig) MeanTokens() float64 {
+	mean := 0.0
+	for class, share := range cfg.ClassShares {
+		low, high := float64(classLengths[class][0]), float64(classLengths[class][1])
+		mean += share * (high - low) / math.Log(high/low)
+	}
+	return mean
+}
+
 // Arrival is one prompt or booking of a load.
 type Arrival struct {
 	At        time.Duration // intended send time from the start of the load
