--- /dev/null
+++ b/standin/relay_test.go
@@ -0,0 +1,42 @@
+package standin_test
+
+import (
+	"testing"
+
+	"goldcrestpath/standin"
+)
+
+// TestRelay guards against a cut relay that loses or passes data.
+func TestRelay(t *testing.T) {
+	log, err := standin.NewLog(anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	relay, err := standin.NewRelay(anyPort, log.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	add := func() int {
+		return call(t, "POST", relay.Address(), "/log/append", map[string]any{"records": [][]byte{[]byte("a")}}, nil)
+	}
+	if status := add(); status != 200 {
+		t.Fatalf("append answered %d", status)
+	}
+	relay.SetCut(true)
+	status := make(chan int)
+	go func() { status <- add() }()
+	select {
+	case s := <-status:
+		t.Fatalf("a cut relay passed an answer, status %d", s)
+	default:
+	}
+	if n := log.Appends(); n != 1 {
+		t.Errorf("%d appends reached the log, want 1", n)
+	}
+	relay.SetCut(false)
+	if s := <-status; s != 200 || log.Appends() != 2 {
+		t.Errorf("after the cut: status %d, %d appends; want 200 and 2", s, log.Appends())
+	}
+}
--- a/standin/summary.go
+++ b/standin/summary.go
@@ -20,6 +20,9 @@
 	timeDigits   = 3
 )
 
+// printedViolations bounds the violations in a table; the JSON report has all of them.
+const printedViolations = 10
+
 // Summary is the result of one load.
 type Summary struct {
 	Name       string          `json:"name"`
@@ -254,7 +257,11 @@
 		fmt.Fprintf(w, "bookings: %d asked in %d sends, %d answered, %d recorded, %d ran twice\n", b.Asked, b.Sends, b.Answered,
 			b.Recorded, b.Doubles)
 	}
-	for _, v := range s.Violations {
+	for i, v := range s.Violations {
+		if i == printedViolations {
+			fmt.Fprintf(w, "and %d further violations\n", len(s.Violations)-i)
+			break
+		}
 		fmt.Fprintf(w, "VIOLATION %s\n", v)
 	}
 }
