Keep memory, cold-start allowance and queue in the ledger

Grants are given only while own grants and reported foreign work stay within the usable shares. A random model with restarts, failures and lagging reports found three ways to exceed the cold-start allowance: failed work was dropped by a report from before the failure, a repeated release moved the time of the end, and a report of a new instance at the same time was ignored.

--- a/engine/decision.go
+++ b/engine/decision.go
@@ -15,7 +15,9 @@
 
 // Granted reserves memory and a sequence for the demand.
 type Granted struct {
-	Grant Grant // without Asked, which only the holder knows
+	Grant      Grant     // without Asked, which only the holder knows
+	FirstToken time.Time // predicted end of the prefill
+	End        time.Time // predicted end of the answer
 }
 
 // Queued means that the demand waits; Ledger.Next decides on it later.
--- /dev/null
+++ b/engine/ledger_test.go
@@ -0,0 +1,486 @@
+package engine_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/engine"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func spec() engine.Spec {
+	return engine.Spec{Name: "e1", Model: "small", KVTokens: 100_000, Sequences: 16, PrefillRate: 10_000, DecodeRate: 100, ColdSequences: 2}
+}
+
+// warm returns a ledger whose endpoint reports enough running work to count as warm.
+func warm(s engine.Spec, opts ...engine.LedgerOption) *engine.Ledger {
+	l := engine.NewLedger(s, start, opts...)
+	l.SetShares(start, 3, 3)
+	l.Observe(start, engine.Report{Instance: 1, Sequence: 1, Running: s.Sequences})
+	return l
+}
+
+func demand(id string, prompt int) engine.Demand {
+	return engine.Demand{ID: id, Holder: "a/1", Customer: "c", PromptTokens: prompt, MaxTokens: 100, Slack: time.Minute}
+}
+
+// outcome describes a decision in one word.
+func outcome(d engine.Decision) string {
+	switch d := d.(type) {
+	case engine.Granted:
+		return "granted"
+	case engine.Queued:
+		return "queued"
+	case engine.Refused:
+		if d.Refusal.Verdict() != customer.NotRun {
+			return "refused with verdict " + d.Refusal.Verdict().String()
+		}
+		return string(d.Refusal.Reason())
+	}
+	return "none"
+}
+
+// Guards against a refusal under another reason than the one that the caller can act on.
+func TestLedgerReasons(t *testing.T) {
+	cold := func() *engine.Ledger {
+		l := engine.NewLedger(spec(), start)
+		l.SetShares(start, 3, 3)
+		l.Observe(start, engine.Report{Instance: 1, Sequence: 1})
+		return l
+	}
+	waits := func(d engine.Demand) engine.Demand { d.MaxWait = time.Minute; return d }
+	for _, c := range []struct {
+		name   string
+		ledger func() *engine.Ledger
+		before []engine.Demand
+		ask    engine.Demand
+		want   string
+	}{
+		{name: "no report", ledger: func() *engine.Ledger {
+			l := engine.NewLedger(spec(), start)
+			l.SetShares(start, 3, 3)
+			return l
+		}, ask: demand("x", 100), want: "share"},
+		{name: "no share", ledger: func() *engine.Ledger { l := warm(spec()); l.SetShares(start, 0, 3); return l }, ask: demand("x", 100), want: "share"},
+		{name: "half of the memory with one share", ledger: func() *engine.Ledger { l := warm(spec()); l.SetShares(start, 1, 3); return l }, ask: demand("x", 50_000), want: "share"},
+		{name: "most of the memory with two shares", ledger: func() *engine.Ledger { l := warm(spec()); l.SetShares(start, 2, 3); return l }, ask: demand("x", 60_000), want: "granted"},
+		{name: "cold with one share", ledger: func() *engine.Ledger { l := cold(); l.SetShares(start, 1, 3); return l }, ask: demand("x", 100), want: "share"},
+		{name: "above the memory", ledger: func() *engine.Ledger { return warm(spec()) }, ask: demand("x", 100_000), want: "memory"},
+		{name: "cold allowance", ledger: cold, before: []engine.Demand{demand("a", 10), demand("b", 10)}, ask: demand("x", 10), want: "cold"},
+		{name: "cold allowance by prefill", ledger: cold, before: []engine.Demand{demand("a", 40_000)}, ask: demand("x", 10), want: "cold"},
+		{name: "cold and waiting", ledger: cold, before: []engine.Demand{demand("a", 10), demand("b", 10)}, ask: waits(demand("x", 10)), want: "queued"},
+		{name: "no room", ledger: func() *engine.Ledger { return warm(spec()) }, before: []engine.Demand{demand("a", 90_000)}, ask: demand("x", 15_000), want: "queueFull"},
+		{name: "no room and waiting", ledger: func() *engine.Ledger { return warm(spec()) }, before: []engine.Demand{demand("a", 90_000)}, ask: waits(demand("x", 15_000)), want: "queued"},
+		{name: "full queue", ledger: func() *engine.Ledger { return warm(spec(), engine.WithQueue(1)) },
+			before: []engine.Demand{demand("a", 90_000), waits(demand("b", 15_000))}, ask: waits(demand("x", 15_000)), want: "queueFull"},
+		{name: "prefill backlog above the slack", ledger: func() *engine.Ledger { return warm(spec()) }, before: []engine.Demand{demand("a", 15_000), demand("b", 15_000)},
+			ask: engine.Demand{ID: "x", PromptTokens: 10, Slack: time.Second}, want: "deadline"},
+		{name: "short prompt ahead of a long prefill", ledger: func() *engine.Ledger { return warm(spec()) }, before: []engine.Demand{demand("a", 60_000)},
+			ask: engine.Demand{ID: "x", PromptTokens: 10, Slack: time.Second}, want: "granted"},
+		{name: "queue longer than the slack", ledger: func() *engine.Ledger { return warm(spec()) }, before: []engine.Demand{demand("a", 90_000)},
+			ask: engine.Demand{ID: "x", PromptTokens: 15_000, Slack: time.Second, MaxWait: time.Second}, want: "deadline"},
+		{name: "repeated demand", ledger: func() *engine.Ledger { return warm(spec()) }, before: []engine.Demand{demand("x", 90_000)}, ask: demand("x", 90_000), want: "granted"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := c.ledger()
+			for _, d := range c.before {
+				l.Ask(start, d)
+			}
+			if diff := cmp.Diff(c.want, outcome(l.Ask(start, c.ask))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that stays in use although nothing is known of it any more.
+func TestLedgerSilentEndpoint(t *testing.T) {
+	l := warm(spec())
+	if got := outcome(l.Ask(at(10*time.Second), demand("x", 10))); got != string(customer.ReasonNoEndpoint) {
+		t.Errorf("ask after 10 s without a report: %s", got)
+	}
+}
+
+// Guards against a second very long prompt on an endpoint, and against long prompts that take the room of short ones.
+func TestLedgerLongAndShort(t *testing.T) {
+	s := spec()
+	s.KVTokens = 1_000_000
+	l := warm(s, engine.WithLongBacklog(50_000, 1))
+	var got []string
+	for i, prompt := range []int{200_000, 200_000, 40_000, 40_000, 1_000} {
+		d := demand(fmt.Sprint(i), prompt)
+		d.Slack = time.Hour
+		got = append(got, outcome(l.Ask(start, d)))
+	}
+	if diff := cmp.Diff([]string{"granted", "queueFull", "granted", "queueFull", "granted"}, got); diff != "" {
+		t.Error(diff)
+	}
+	l = warm(s, engine.WithLongBacklog(1_000_000, 10))
+	got = nil
+	for i, prompt := range []int{500_000, 390_000, 50_000, 10_000} {
+		d := demand(fmt.Sprint(i), prompt)
+		d.Slack = time.Hour
+		got = append(got, outcome(l.Ask(start, d)))
+	}
+	if diff := cmp.Diff([]string{"granted", "granted", "queueFull", "granted"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a cold endpoint that gets more than its allowance after failures, late first tokens and restarts.
+func TestLedgerColdStart(t *testing.T) {
+	finish := func(l *engine.Ledger, id string, r engine.Result) {
+		l.Ask(at(time.Second), demand(id, 10))
+		l.Release(at(time.Second), id, r)
+	}
+	ok := engine.Result{FirstToken: time.Millisecond}
+	for _, c := range []struct {
+		name   string
+		change func(l *engine.Ledger)
+		want   int
+	}{
+		{"new", func(l *engine.Ledger) {}, 2},
+		{"grows with completed work", func(l *engine.Ledger) { finish(l, "a", ok); finish(l, "b", ok) }, 4},
+		{"not by cancelled work", func(l *engine.Ledger) { finish(l, "a", engine.Result{}) }, 2},
+		{"back after a failure", func(l *engine.Ledger) { finish(l, "a", ok); finish(l, "b", engine.Result{Failed: true}) }, 2},
+		{"back after a late first token", func(l *engine.Ledger) { finish(l, "a", ok); finish(l, "b", engine.Result{FirstToken: time.Minute}) }, 2},
+		{"back when reported", func(l *engine.Ledger) {
+			finish(l, "a", ok)
+			l.Observe(at(time.Second), engine.Report{Instance: 1, Sequence: 2, Cold: true})
+			finish(l, "b", ok)
+		}, 2},
+		{"back after a restart", func(l *engine.Ledger) {
+			finish(l, "a", ok)
+			l.Observe(at(time.Second), engine.Report{Instance: 2, Sequence: 1, Running: 16})
+		}, 2},
+	} {
+		l := engine.NewLedger(spec(), start)
+		l.SetShares(start, 3, 3)
+		l.Observe(start, engine.Report{Instance: 1, Sequence: 1})
+		c.change(l)
+		if got := l.Load().Allowance; got != c.want {
+			t.Errorf("%s: allowance %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a large customer that takes the queue and the capacity from small ones.
+func TestLedgerFairness(t *testing.T) {
+	l := warm(spec(), engine.WithQueue(20))
+	ask := func(name string, i int) engine.Decision {
+		d := demand(fmt.Sprint(name, i), 10_000)
+		d.Customer, d.Weight, d.MaxWait = name, 1, 10*time.Minute
+		d.Slack = 10*time.Minute - time.Duration(i)*time.Second // the flood is even more urgent
+		if name == "small" {
+			d.Slack = 10 * time.Minute
+		}
+		return l.Ask(start, d)
+	}
+	var running []string
+	for i := range 40 {
+		if d, ok := ask("flood", i).(engine.Granted); ok {
+			running = append(running, d.ID())
+		}
+	}
+	for i := range 10 {
+		if got := outcome(ask("small", i)); got != "queued" {
+			t.Fatalf("demand %d of the small customer: %s", i, got)
+		}
+	}
+	granted := map[string]int{}
+	var order []string
+	for round := 0; len(running) > 0 && round < 18; round++ {
+		now := at(time.Duration(round) * time.Second)
+		l.Observe(now, engine.Report{Instance: 1, Sequence: uint64(round + 2)})
+		l.Release(now, running[0], engine.Result{})
+		running = running[1:]
+		for _, d := range l.Next(now) {
+			if g, ok := d.(engine.Granted); ok {
+				granted[g.Grant.Demand.Customer]++
+				order = append(order, g.Grant.Demand.Customer)
+				running = append(running, g.ID())
+			}
+		}
+	}
+	if diff := cmp.Diff([]string{"small", "small", "small", "small"}, order[:4]); diff != "" {
+		t.Error("the first grants while the small customer is below its half:", diff)
+	}
+	// Equal weights give each half of the 18 grants, less one that the other has ahead.
+	if granted["small"] < 8 || granted["flood"] < 8 {
+		t.Errorf("granted in contention: %v", granted)
+	}
+}
+
+// Guards against queued demands that stay although they cannot start in time, and against the loss of a queued one.
+func TestLedgerNext(t *testing.T) {
+	l := warm(spec())
+	l.Ask(start, demand("a", 90_000))
+	for id, slack := range map[string]time.Duration{"urgent": 12 * time.Second, "patient": time.Minute} {
+		d := demand(id, 12_000)
+		d.Slack, d.MaxWait = slack, slack
+		l.Ask(start, d)
+	}
+	outcomes := func(now time.Duration) map[string]string {
+		l.Observe(at(now), engine.Report{Instance: 1, Sequence: uint64(now), Streams: []engine.StreamReport{{ID: "a", Tokens: 90_100}}, PrefillBacklog: 90_000})
+		out := map[string]string{}
+		for _, d := range l.Next(at(now)) {
+			out[d.ID()] = outcome(d)
+		}
+		return out
+	}
+	if diff := cmp.Diff(map[string]string{}, outcomes(time.Second)); diff != "" {
+		t.Error("after 1 s, while the prefill lags:", diff)
+	}
+	if diff := cmp.Diff(map[string]string{"urgent": "deadline"}, outcomes(5*time.Second)); diff != "" {
+		t.Error("after 5 s:", diff)
+	}
+	l.Release(at(6*time.Second), "a", engine.Result{FirstToken: time.Second})
+	if diff := cmp.Diff(map[string]string{"patient": "granted"}, outcomes(6*time.Second)); diff != "" {
+		t.Error("after the release:", diff)
+	}
+}
+
+// Guards against memory that counts as free while the endpoint may still hold a failed stream: after a report from before
+// the failure, after one from before a restart, and after a repeated release.
+func TestLedgerFailedWorkStaysReserved(t *testing.T) {
+	listed := []engine.StreamReport{{ID: "a", Tokens: 50_100}}
+	failed := engine.Result{Failed: true}
+	for _, c := range []struct {
+		name string
+		then func(l *engine.Ledger)
+		want int
+	}{
+		{"no report", func(l *engine.Ledger) {}, 49_900},
+		{"report from before", func(l *engine.Ledger) {
+			l.Observe(at(1500*time.Millisecond), engine.Report{Instance: 1, Sequence: 2, Age: time.Second})
+		}, 49_900},
+		{"restart before the failure", func(l *engine.Ledger) {
+			l.Observe(at(1500*time.Millisecond), engine.Report{Instance: 2, Age: time.Second})
+		}, 49_900},
+		{"report lists it", func(l *engine.Ledger) {
+			l.Release(at(1500*time.Millisecond), "a", failed)
+			l.Observe(at(1500*time.Millisecond), engine.Report{Instance: 1, Sequence: 2, Streams: listed})
+		}, 49_900},
+		{"report without it", func(l *engine.Ledger) { l.Observe(at(1500*time.Millisecond), engine.Report{Instance: 1, Sequence: 2}) }, 100_000},
+		{"engine's hold is over", func(l *engine.Ledger) { l.Next(at(4 * time.Second)) }, 100_000},
+	} {
+		l := warm(spec())
+		l.Ask(start, demand("a", 50_000))
+		l.Release(at(time.Second), "a", failed)
+		c.then(l)
+		if got := l.Load().FreeTokens; got != c.want {
+			t.Errorf("%s: %d tokens free, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// model is an engine as it really is, beside the ledger that learns of it by reports.
+type model struct {
+	l       *engine.Ledger
+	now     time.Time
+	usable  int
+	ids     []string // all IDs ever asked
+	grants  map[string]engine.Grant
+	asked   map[string]time.Time
+	sent    map[string]bool
+	streams map[string]int       // on the engine
+	lost    map[string]time.Time // streams whose connection failed; the engine keeps them for 2 s
+	others  map[string]int       // work of other owners
+	seen    map[string]int       // others in the last applied report
+	snap    engine.Report
+	snapAt  time.Time
+}
+
+// obligations returns what is on the engine or may still be sent to it under a grant, in tokens and sequences.
+func (m *model) obligations() (tokens, n int) {
+	for _, used := range m.streams {
+		tokens += used
+		n++
+	}
+	for id, g := range m.grants {
+		if _, ok := m.streams[id]; !ok && !m.sent[id] && m.now.Sub(m.asked[id]) < engine.GrantLifetime {
+			tokens += g.Demand.Tokens()
+			n++
+		}
+	}
+	return tokens, n
+}
+
+func (m *model) granted(t *rapid.T, g engine.Grant, before engine.Load) {
+	m.grants[g.ID], m.asked[g.ID] = g, m.now
+	tokens, n := m.obligations()
+	for _, used := range m.seen {
+		tokens += used
+		n++
+	}
+	if limit := spec().KVTokens * m.usable / 3; tokens > limit {
+		t.Fatalf("grant %s makes %d tokens of %d", g.ID, tokens, limit)
+	}
+	if before.Cold && n > before.Allowance {
+		t.Fatalf("grant %s makes %d sequences of the cold-start allowance %d", g.ID, n, before.Allowance)
+	}
+}
+
+func (m *model) sample() {
+	m.snapAt = m.now
+	m.snap.Sequence++
+	m.snap.Streams, m.snap.PrefillBacklog = nil, 0
+	for id, used := range m.streams {
+		m.snap.Streams = append(m.snap.Streams, engine.StreamReport{ID: id, Tokens: used})
+	}
+	for id, used := range m.others {
+		m.snap.Streams = append(m.snap.Streams, engine.StreamReport{ID: id, Tokens: used, Holder: "other"})
+	}
+}
+
+func (m *model) deliver() {
+	if m.snap.Sequence == 0 || m.now.Sub(m.snapAt) > engine.MaxReportAge {
+		m.sample()
+	}
+	r := m.snap
+	r.Age = m.now.Sub(m.snapAt)
+	m.l.Observe(m.now, r)
+	m.seen = map[string]int{}
+	for _, st := range r.Streams {
+		if st.Holder == "other" {
+			m.seen[st.ID] = st.Tokens
+		}
+	}
+}
+
+// Guards against grants beyond the usable shares or the cold-start allowance, and against memory that is freed twice or
+// never, over restarts, failures, repeated releases and reports that lag.
+func TestLedgerNeverExceedsCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			l: engine.NewLedger(spec(), start), now: start, grants: map[string]engine.Grant{}, asked: map[string]time.Time{},
+			sent: map[string]bool{}, streams: map[string]int{}, lost: map[string]time.Time{}, others: map[string]int{},
+		}
+		m.snap.Instance = 1
+		pick := func(t *rapid.T, ids []string) string {
+			if len(ids) == 0 {
+				t.Skip("nothing to pick")
+			}
+			slices.Sort(ids)
+			return rapid.SampledFrom(ids).Draw(t, "id")
+		}
+		end := func(id string, r engine.Result) {
+			m.l.Release(m.now, id, r)
+			delete(m.grants, id)
+		}
+		shares := func(t *rapid.T) {
+			m.usable = rapid.IntRange(0, 3).Draw(t, "usable")
+			m.l.SetShares(m.now, m.usable, 3)
+		}
+		shares(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				d := demand(fmt.Sprint("g", len(m.ids)), rapid.SampledFrom([]int{100, 5_000, 30_000, 70_000}).Draw(t, "prompt"))
+				d.MaxWait = time.Duration(rapid.IntRange(0, 1).Draw(t, "wait")) * time.Minute
+				m.ids = append(m.ids, d.ID)
+				before := m.l.Load()
+				if g, ok := m.l.Ask(m.now, d).(engine.Granted); ok {
+					m.granted(t, g.Grant, before)
+				}
+			},
+			"next": func(t *rapid.T) {
+				before := m.l.Load()
+				for _, d := range m.l.Next(m.now) {
+					if g, ok := d.(engine.Granted); ok {
+						m.granted(t, g.Grant, before)
+					}
+				}
+			},
+			"send": func(t *rapid.T) {
+				id := pick(t, slices.Collect(maps.Keys(m.grants)))
+				if !m.sent[id] && m.now.Sub(m.asked[id]) < engine.GrantLifetime {
+					m.sent[id] = true
+					m.streams[id] = m.grants[id].Demand.Tokens()
+				}
+			},
+			"complete": func(t *rapid.T) {
+				id := pick(t, slices.Collect(maps.Keys(m.streams)))
+				delete(m.streams, id)
+				end(id, engine.Result{FirstToken: time.Millisecond})
+			},
+			"fail": func(t *rapid.T) {
+				id := pick(t, slices.Collect(maps.Keys(m.streams)))
+				if _, ok := m.grants[id]; ok {
+					m.lost[id] = m.now
+					end(id, engine.Result{Failed: true})
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				id := pick(t, slices.Clone(m.ids))
+				if !m.sent[id] {
+					m.l.Withdraw(m.now, id)
+					delete(m.grants, id)
+				}
+			},
+			"releaseAgain": func(t *rapid.T) {
+				id := pick(t, slices.Clone(m.ids))
+				if _, ok := m.grants[id]; !ok {
+					m.l.SetShares(m.now, m.usable, 3)
+					if before := m.l.Load(); before.Queue == 0 {
+						m.l.Release(m.now, id, engine.Result{Failed: true})
+						if diff := cmp.Diff(before, m.l.Load()); diff != "" {
+							t.Fatal("a second release changed the ledger:", diff)
+						}
+					}
+				}
+			},
+			"other": func(t *rapid.T) {
+				if id := fmt.Sprint("o", rapid.IntRange(0, 2).Draw(t, "other")); m.others[id] > 0 {
+					delete(m.others, id)
+				} else {
+					m.others[id] = rapid.IntRange(1, 40_000).Draw(t, "tokens")
+				}
+			},
+			"restart": func(t *rapid.T) {
+				clear(m.streams)
+				clear(m.others)
+				m.snap.Instance++
+				m.sample()
+			},
+			"sample": func(t *rapid.T) { m.sample() },
+			"report": func(t *rapid.T) { m.deliver() },
+			"shares": shares,
+			"advance": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				for id, since := range m.lost {
+					if m.now.Sub(since) >= 2*time.Second {
+						delete(m.streams, id)
+						delete(m.lost, id)
+					}
+				}
+				if tokens, _ := m.obligations(); tokens > spec().KVTokens {
+					t.Fatalf("the engine has %d tokens to hold and memory for %d", tokens, spec().KVTokens)
+				}
+			},
+		})
+		for _, id := range m.ids {
+			m.l.Withdraw(m.now, id)
+		}
+		clear(m.streams)
+		clear(m.others)
+		m.now = m.now.Add(5 * time.Second)
+		m.sample()
+		m.deliver()
+		m.l.SetShares(m.now, 3, 3)
+		if l := m.l.Load(); l.FreeTokens != spec().KVTokens || l.Running != 0 || l.Queue != 0 || l.PrefillBacklog != 0 {
+			t.Fatalf("the empty ledger holds something: %+v", l)
+		}
+	})
+}
--- a/engine/report.go
+++ b/engine/report.go
@@ -45,6 +45,7 @@
 	LongBacklog    int     // part of PrefillBacklog that belongs to them
 	PrefillRate    float64 // tokens a second
 	Cold           bool
+	Allowance      int // sequences that the cold-start allowance admits
 }
 
 // Result tells the ledger how granted work ended.
