entry: Adapt to the ledger's refusals and freed IDs

The ledger refuses an ID that was withdrawn and refuses demands that need more shares than the owner has. A lost answer therefore lost the demand, and every demand failed while a new owner waited for its shares.

A grant whose answer found nobody is given to the holder's next request while the shares that it was issued under are still held. A refusal for want of shares counts as "no owner yet" while more shares can be expected.

--- a/entry/node.go
+++ b/entry/node.go
@@ -93,7 +93,9 @@
 
 // NewNode starts a node. It serves other VMs at once and knows no places until SetFleet.
 func NewNode(cfg Config, opts ...Option) (*Node, error) {
-	o := options{registry: metrics.NewRegistry(), newLedger: func(s engine.Spec, now time.Time) Ledger { return engine.NewLedger(s, now) }}
+	o := options{registry: metrics.NewRegistry(), newLedger: func(s engine.Spec, now time.Time) Ledger {
+		return engine.NewLedger(s, now, engine.WithOwner(cfg.Place))
+	}}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -32,6 +32,7 @@
 // fakeEndpoints reports the streams that the test sets and records cancellations.
 type fakeEndpoints struct {
 	mu        sync.Mutex
+	sequence  uint64
 	streams   []engine.StreamReport
 	cancelled []BorrowerID
 }
@@ -39,7 +40,8 @@
 func (f *fakeEndpoints) Report(_ context.Context, s engine.Spec) (engine.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return engine.Report{Instance: 1, Model: s.Model, KVTokens: s.KVTokens, Sequences: s.Sequences, Streams: f.streams}, nil
+	f.sequence++
+	return engine.Report{Instance: 1, Sequence: f.sequence, Model: s.Model, KVTokens: s.KVTokens, Sequences: s.Sequences, Streams: f.streams}, nil
 }
 
 func (f *fakeEndpoints) CancelHolder(_ context.Context, _ engine.Spec, holder string, incarnation uint64) error {
@@ -190,7 +192,7 @@
 func testSpecs(dataCentre string, names ...string) []engine.Spec {
 	var out []engine.Spec
 	for _, name := range names {
-		out = append(out, engine.Spec{Name: name, DataCentre: dataCentre, Model: "small", KVTokens: 9000, Sequences: 9, PrefillRate: 10000, DecodeRate: 50})
+		out = append(out, engine.Spec{Name: name, DataCentre: dataCentre, Model: "small", KVTokens: 9000, Sequences: 9, ColdSequences: 9, PrefillRate: 10000, DecodeRate: 50})
 	}
 	return out
 }
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -29,6 +29,7 @@
 	observed time.Time // when the newest report was asked for
 	ready    bool      // there was a report
 	polling  bool
+	reports  uint64 // number of reports made up without a client
 	nextPoll time.Time
 	records  map[string]*record
 	streams  []engine.StreamReport
@@ -42,6 +43,7 @@
 	round       uint64 // renewals of the holder from this one on name the grant while it is in use
 	granted     bool
 	issued      time.Time
+	shares      int            // usable shares when it was issued
 	waiting     chan askAnswer // of the request that waits, or nil
 	seen        time.Time      // when a request last waited
 	until       time.Time      // end of Demand.MaxWait
@@ -118,7 +120,8 @@
 	o.nextPoll = now.Add(pollInterval)
 	if n.opts.endpoints == nil {
 		o.observed, o.ready = now, true
-		o.ledger.Observe(now, engine.Report{KVTokens: o.spec.KVTokens, Sequences: o.spec.Sequences, Model: o.spec.Model})
+		o.reports++
+		o.ledger.Observe(now, engine.Report{Sequence: o.reports, KVTokens: o.spec.KVTokens, Sequences: o.spec.Sequences, Model: o.spec.Model})
 		return
 	}
 	o.polling = true
@@ -153,6 +156,17 @@
 	return sum
 }
 
+// sharesComing says whether the owner can expect more usable shares soon: one is held and waits, or its guardian lives.
+func (n *Node) sharesComing(now time.Time, o *owned) bool {
+	resource := endpointResource(o.spec.Name)
+	for i, guardian := range guardians(n.order(resource)) {
+		if n.borrower.Usable(now, o.observed, shareKey{resource, i}) == 0 && n.members.Live(guardian) {
+			return true
+		}
+	}
+	return false
+}
+
 // settle applies the shares and answers the queued demands that can be decided.
 func (n *Node) settle(now time.Time, o *owned) {
 	o.ledger.SetShares(now, n.usable(now, o), Shares)
@@ -160,15 +174,12 @@
 		r := o.records[d.ID()]
 		switch d := d.(type) {
 		case engine.Granted:
-			if r == nil || r.waiting == nil {
-				// Nobody waits at this moment. A grant that is delivered later could outlive the lease that it stands on, so the
-				// demand is asked again.
+			if r == nil {
 				o.ledger.Withdraw(now, d.ID())
-				delete(o.records, d.ID())
 				continue
 			}
-			r.granted, r.issued = true, now
-			o.answer(r, askAnswer{granted: true})
+			r.granted, r.issued, r.shares = true, now, n.usable(now, o)
+			o.answer(r, askAnswer{granted: true}) // or else to the next request
 		case engine.Refused:
 			if r != nil {
 				o.answer(r, askAnswer{refusal: d.Refusal})
@@ -228,19 +239,32 @@
 		r.waiting, r.seen, r.round = ch, now, max(r.round, round)
 		return ch
 	}
-	if r != nil { // the answer was lost; the grant is decided again
-		o.ledger.Withdraw(now, d.ID)
-		delete(o.records, d.ID)
+	if r != nil {
+		// The answer was lost, or nobody waited for it. The holder's time for the send begins again, so the grant needs the
+		// shares that it was issued under.
+		if n.usable(now, o) < r.shares {
+			n.free(now, endpoint, d.ID, d.Holder, nil)
+			ch <- refuse(customer.ReasonGrantExpired, "a share of the endpoint was lost since the grant was issued")
+			return ch
+		}
+		r.issued, r.round = now, max(r.round, round)
+		r.waiting = ch
+		o.answer(r, askAnswer{granted: true})
+		return ch
 	}
 	r = &record{demand: d, incarnation: incarnation, round: round, seen: now, until: now.Add(d.MaxWait)}
-	o.ledger.SetShares(now, n.usable(now, o), Shares)
-	r.waiting = ch
+	r.waiting, r.shares = ch, n.usable(now, o)
+	o.ledger.SetShares(now, r.shares, Shares)
 	switch dec := o.ledger.Ask(now, d).(type) {
 	case engine.Granted:
 		r.granted, r.issued = true, now
 		o.records[d.ID] = r
 		o.answer(r, askAnswer{granted: true})
 	case engine.Refused:
+		if dec.Refusal.Reason() == customer.ReasonShare && n.sharesComing(now, o) {
+			o.answer(r, refuse(customer.ReasonNoOwner, dec.Refusal.Message()))
+			break
+		}
 		o.answer(r, askAnswer{refusal: dec.Refusal})
 	default:
 		o.records[d.ID] = r
