Serve completions, chat completions and plain service calls

The listener answered health checks only. It now reads requests within a bound for each body and for all of them, passes them to the router under the contract's deadline and cancels them when the caller closes its connection, which fasthttp does not notice while a handler waits. Answers are delivered whole and in order; a stream that fails ends with an error event and without [DONE].

Contract lines in refusals are taken from the file, and a corrected charge is bounded by the widest error of the token estimate.

--- /dev/null
+++ b/caller/body.go
@@ -0,0 +1,120 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"goldcrestpath/customer"
+)
+
+const (
+	// bodyStep is the first size of a body's buffer. Memory is held as bytes arrive and not as Content-Length declares, so
+	// that a caller that declares much and sends nothing holds little.
+	bodyStep = 64 << 10
+	// memoryRetryAfter is in the order of the time in which a running long request ends its prefill.
+	memoryRetryAfter = time.Second
+)
+
+// memory bounds the bytes of all request bodies together.
+type memory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// hold is the memory that one request takes.
+type hold struct {
+	memory *memory
+	bytes  int64
+}
+
+// resize changes what is held to n bytes, or changes nothing and returns false where the memory is used up.
+func (h *hold) resize(n int) bool {
+	delta := int64(n) - h.bytes
+	if used := h.memory.used.Add(delta); delta > 0 && used > h.memory.limit {
+		h.memory.used.Add(-delta)
+		return false
+	}
+	h.bytes = int64(n)
+	return true
+}
+
+func (h *hold) release() { h.resize(0) }
+
+// readBody reads the request's body into memory of its own, which fasthttp does not use again. On a refusal the connection
+// is closed after the answer where the body was not read to its end.
+func (x *exchange) readBody(h *hold) ([]byte, *customer.Refusal) {
+	limit := x.server.bodyLimit
+	declared := x.ctx.Request.Header.ContentLength()
+	if declared > limit {
+		return nil, x.dropBody(x.tooLarge())
+	}
+	stream := x.ctx.RequestBodyStream()
+	if stream == nil {
+		body := x.ctx.PostBody()
+		if len(body) > limit {
+			return nil, x.tooLarge()
+		}
+		if !h.resize(len(body)) {
+			return nil, x.noMemory()
+		}
+		return append([]byte(nil), body...), nil
+	}
+	// One byte over the limit shows that the body is too large.
+	most := limit + 1
+	if declared >= 0 {
+		most = declared
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) && len(body) < most {
+			size := min(max(bodyStep, 2*cap(body)), most)
+			// The old and the new buffer exist together while the bytes are copied.
+			if !h.resize(cap(body) + size) {
+				return nil, x.dropBody(x.noMemory())
+			}
+			grown := make([]byte, len(body), size)
+			copy(grown, body)
+			body = grown
+			h.resize(size)
+		}
+		if len(body) == most && declared >= 0 {
+			return body, nil
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > limit:
+			return nil, x.dropBody(x.tooLarge())
+		case err == io.EOF && (declared < 0 || len(body) == declared):
+			return body, nil
+		case err != nil:
+			x.ctx.SetConnectionClose()
+			return nil, customer.Refuse(customer.ReasonBadRequest, fmt.Sprintf("the body ended after %d bytes", len(body)))
+		}
+	}
+}
+
+func (x *exchange) tooLarge() *customer.Refusal {
+	return customer.Refuse(customer.ReasonTooLarge, fmt.Sprintf("the body is longer than %d bytes", x.server.bodyLimit))
+}
+
+func (x *exchange) noMemory() *customer.Refusal {
+	return customer.Refuse(customer.ReasonNotReady, "the memory for request bodies is used up",
+		customer.RetryAfter(memoryRetryAfter))
+}
+
+// dropBody reads a bounded rest of the body, because a connection that is closed with unread bytes is reset and the caller
+// may lose the answer.
+func (x *exchange) dropBody(r *customer.Refusal) *customer.Refusal {
+	x.ctx.SetConnectionClose()
+	if stream := x.ctx.RequestBodyStream(); stream != nil {
+		io.CopyN(io.Discard, stream, int64(x.server.bodyLimit))
+	}
+	return r
+}
+
+var _ fasthttp.Logger = httpLogger{}
--- /dev/null
+++ b/caller/server_test.go
@@ -0,0 +1,569 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"goldcrestpath/caller"
+	"goldcrestpath/customer"
+	"goldcrestpath/engine"
+	"goldcrestpath/service"
+)
+
+const apiKey = "test-key"
+
+// fakeRouter answers with functions of the test.
+type fakeRouter struct {
+	contract *customer.Contract
+	ready    bool
+	complete func(ctx context.Context, c *engine.Completion, sink engine.Sink) error
+	call     func(ctx context.Context, r *service.Request) (*service.Response, error)
+}
+
+func (f *fakeRouter) Contract(key string) (*customer.Contract, bool) {
+	return f.contract, key == apiKey
+}
+func (f *fakeRouter) Models(*customer.Contract) []string { return []string{"small"} }
+func (f *fakeRouter) Estimate(_ string, bytes int) int   { return (bytes + 3) / 4 }
+func (f *fakeRouter) Ready() bool                        { return f.ready }
+
+func (f *fakeRouter) Complete(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
+	return f.complete(ctx, c, sink)
+}
+
+func (f *fakeRouter) Call(ctx context.Context, r *service.Request) (*service.Response, error) {
+	return f.call(ctx, r)
+}
+
+func newRouter(t testing.TB) *fakeRouter {
+	t.Helper()
+	hash := sha256.Sum256([]byte(apiKey))
+	c, err := customer.ParseContract("deskTeam.ini", []byte(`[contract]
+name = deskTeam
+weight = 2
+priority = 3
+tokensPerSecond = 4000
+burst = 2000000
+concurrent = 8
+longestPrompt = 1000000
+models = small
+services = booking
+[keys]
+test = `+hex.EncodeToString(hash[:])+`
+[firstToken]
+short = 500ms
+[deadline]
+short = 30s
+medium = 40s
+long = 50s
+veryLong = 60s
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fakeRouter{contract: c, ready: true, complete: chunks(nil, "hello")}
+}
+
+// chunks returns a completion that sends the texts and then the end mark, or err instead of the mark.
+func chunks(err error, texts ...string) func(context.Context, *engine.Completion, engine.Sink) error {
+	return func(_ context.Context, _ *engine.Completion, sink engine.Sink) error {
+		offset := 0
+		for _, text := range texts {
+			if err := sink.Chunk(engine.Chunk{Attempt: 1, Offset: offset, Text: text}); err != nil {
+				return err
+			}
+			offset += len(text)
+		}
+		if err != nil {
+			return err
+		}
+		usage := engine.Usage{PromptTokens: 7, CachedTokens: 2, AnswerTokens: len(texts)}
+		return sink.Chunk(engine.Chunk{Attempt: 1, Offset: offset, End: true, Usage: usage})
+	}
+}
+
+// serve starts a server for the router and returns a client of it.
+func serve(t testing.TB, r caller.Router, opts ...caller.Option) *http.Client {
+	t.Helper()
+	ln := fasthttputil.NewInmemoryListener()
+	serveOn(t, ln, r, opts...)
+	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return ln.Dial() }}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+func serveOn(t testing.TB, ln net.Listener, r caller.Router, opts ...caller.Option) *caller.Server {
+	t.Helper()
+	s := caller.NewServer(r, append([]caller.Option{caller.WithLogger(&log.Logger{Handler: discard.New()})}, opts...)...)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		if err := s.Shutdown(ctx); err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+		if err := <-ended; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return s
+}
+
+func request(t testing.TB, method, path, body string, headers ...string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://vm"+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return r
+}
+
+func do(t testing.TB, c *http.Client, r *http.Request) (*http.Response, string) {
+	t.Helper()
+	resp, err := c.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+// failure is the part of an error answer that the tests compare.
+type failure struct {
+	Error struct{ Message, Type, Code, Verdict, Reason, RequestID string }
+}
+
+func decodeFailure(t testing.TB, body string) failure {
+	t.Helper()
+	var f failure
+	if err := json.Unmarshal([]byte(body), &f); err != nil {
+		t.Fatalf("error body %q: %v", body, err)
+	}
+	return f
+}
+
+// A refusal with the wrong status makes clients repeat what can't succeed, or give up what can; one without a field name
+// leaves the caller guessing.
+func TestRefusedRequests(t *testing.T) {
+	const path, chat = "/v1/completions", "/v1/chat/completions"
+	refuse := func(err error) func(context.Context, *engine.Completion, engine.Sink) error { return chunks(err) }
+	for name, tc := range map[string]struct {
+		path, body string
+		headers    []string
+		complete   func(context.Context, *engine.Completion, engine.Sink) error
+		status     int
+		reason     customer.Reason
+		verdict    customer.Verdict
+		message    string
+		retryAfter string
+	}{
+		"no JSON":         {path: path, body: `{"model":`, message: "byte 9"},
+		"no object":       {path: path, body: `[]`, message: "the body has to be an object, not array"},
+		"no model":        {path: path, body: `{"prompt":"x"}`, message: "field model is required"},
+		"model type":      {path: path, body: `{"model":1,"prompt":"x"}`, message: "field model has to be a string, not a number"},
+		"no prompt":       {path: path, body: `{"model":"small"}`, message: "field prompt is required"},
+		"prompt type":     {path: path, body: `{"model":"small","prompt":{}}`, message: "field prompt has to be a string, not an object"},
+		"prompt list":     {path: path, body: `{"model":"small","prompt":["a","b"]}`, message: "field prompt has to be one string"},
+		"max_tokens type": {path: path, body: `{"model":"small","prompt":"x","max_tokens":"5"}`, message: "field max_tokens has to be a whole number, not string"},
+		"max_tokens zero": {path: path, body: `{"model":"small","prompt":"x","max_tokens":0}`, message: "field max_tokens has to be from 1"},
+		"n":               {path: path, body: `{"model":"small","prompt":"x","n":2}`, message: "field n has to be 1"},
+		"stop":            {path: path, body: `{"model":"small","prompt":"x","stop":["."]}`, message: "field stop is not supported"},
+		"UTF-8":           {path: path, body: "{\"model\":\"small\",\"prompt\":\"\xff\"}", message: "not valid UTF-8"},
+		"no messages":     {path: chat, body: `{"model":"small"}`, message: "field messages has to be a list"},
+		"messages type":   {path: chat, body: `{"model":"small","messages":{}}`, message: "field messages has to be a list, not object"},
+		"role":            {path: chat, body: `{"model":"small","messages":[{"role":"x","content":""}]}`, message: "field messages[0].role has to be"},
+		"content type":    {path: chat, body: `{"model":"small","messages":[{"role":"user","content":5}]}`, message: "field messages[0].content has to be a string, not a number"},
+		"part type":       {path: chat, body: `{"model":"small","messages":[{"role":"user","content":[{"type":"image"}]}]}`, message: "field messages[0].content[0].type has to be text"},
+		"deadline":        {path: path, body: `{"model":"small","prompt":"x"}`, headers: []string{"Goldcrest-Deadline", "1s"}, message: "Goldcrest-Deadline"},
+		"unknown path":    {path: "/v2", status: 404, message: "unknown path /v2"},
+		"unknown model": {path: path, body: `{"model":"big","prompt":"x"}`, status: 404, reason: customer.ReasonUnknownModel,
+			message: "contract deskTeam: [contract] models = small"},
+		"unknown service": {path: "/services/other/x", status: 404, reason: customer.ReasonUnknownService,
+			message: "contract deskTeam: [contract] services = booking"},
+		"strict":  {path: "/services/booking/x", headers: []string{"Goldcrest-Strict", "yes"}, message: "Goldcrest-Strict"},
+		"bad key": {path: path, headers: []string{"Authorization", "Bearer wrong"}, status: 401, reason: customer.ReasonBadKey},
+		"no key":  {path: path, headers: []string{"Authorization", ""}, status: 401, reason: customer.ReasonBadKey},
+		"router's wait": {path: path, body: `{"model":"small","prompt":"x"}`, status: 429, reason: customer.ReasonTokenRate, retryAfter: "3",
+			complete: refuse(customer.Refuse(customer.ReasonTokenRate, "slow", customer.RetryAfter(2100*time.Millisecond)))},
+		"default wait": {path: path, body: `{"model":"small","prompt":"x","stream":true}`, status: 503, reason: customer.ReasonQueueFull, retryAfter: "1",
+			complete: refuse(customer.Refuse(customer.ReasonQueueFull, "full"))},
+		"may have run": {path: path, body: `{"model":"small","prompt":"x"}`, status: 502, reason: customer.ReasonEndpointFailed,
+			verdict: customer.MayHaveRun, complete: refuse(customer.Fail(customer.ReasonEndpointFailed, "broken"))},
+		"no end mark": {path: path, body: `{"model":"small","prompt":"x"}`, status: 500, reason: customer.ReasonInternal, verdict: customer.MayHaveRun,
+			message: "end mark",
+			complete: func(_ context.Context, _ *engine.Completion, s engine.Sink) error {
+				return s.Chunk(engine.Chunk{Text: "half"})
+			}},
+		"deadline over": {path: path, body: `{"model":"small","prompt":"x"}`, headers: []string{"Goldcrest-Deadline", "1"}, status: 504,
+			reason: customer.ReasonDeadline, verdict: customer.MayHaveRun,
+			complete: func(ctx context.Context, _ *engine.Completion, _ engine.Sink) error { <-ctx.Done(); return ctx.Err() }},
+		"panic": {path: path, body: `{"model":"small","prompt":"x"}`, status: 500, reason: customer.ReasonInternal, verdict: customer.MayHaveRun,
+			complete: func(context.Context, *engine.Completion, engine.Sink) error { panic("fault") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(t)
+			if tc.complete != nil {
+				r.complete = tc.complete
+			}
+			if tc.status == 0 {
+				tc.status = 400
+			}
+			if tc.reason == "" {
+				tc.reason = customer.ReasonBadRequest
+			}
+			if tc.verdict == 0 {
+				tc.verdict = customer.NotRun
+			}
+			registry := metrics.NewRegistry()
+			resp, body := do(t, serve(t, r, caller.WithRegistry(registry)), request(t, "POST", tc.path, tc.body, tc.headers...))
+			f := decodeFailure(t, body).Error
+			if resp.StatusCode != tc.status || f.Reason != string(tc.reason) || f.Verdict != tc.verdict.String() || !strings.Contains(f.Message, tc.message) {
+				t.Errorf("got %d %s, want %d %s %s with %q", resp.StatusCode, body, tc.status, tc.reason, tc.verdict, tc.message)
+			}
+			if got := resp.Header.Get("Retry-After"); got != tc.retryAfter {
+				t.Errorf("Retry-After = %q, want %q", got, tc.retryAfter)
+			}
+			if id := resp.Header.Get("X-Request-Id"); id == "" || id != f.RequestID {
+				t.Errorf("X-Request-Id = %q, in the body %q", id, f.RequestID)
+			}
+			if n := registry.Get("caller.refused." + string(tc.reason)).(metrics.Counter).Count(); n != 1 {
+				t.Errorf("counter of %s = %d, want 1", tc.reason, n)
+			}
+		})
+	}
+}
+
+// A VM that has no configuration yet must not tell a customer that its key is wrong.
+func TestNotReady(t *testing.T) {
+	r := newRouter(t)
+	r.ready = false
+	c := serve(t, r)
+	resp, body := do(t, c, request(t, "GET", "/v1/models", "", "Authorization", "Bearer other"))
+	if f := decodeFailure(t, body).Error; resp.StatusCode != 503 || f.Reason != string(customer.ReasonNotReady) || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %d %s", resp.StatusCode, body)
+	}
+	for path, want := range map[string]int{"/healthz": 200, "/readyz": 503} {
+		if resp, _ := do(t, c, request(t, "GET", path, "")); resp.StatusCode != want {
+			t.Errorf("%s: got %d, want %d", path, resp.StatusCode, want)
+		}
+	}
+}
+
+// The router gets wrong limits, or the prompt of another form, where the completion is built wrongly.
+func TestCompletionForRouter(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path, body string
+		headers    []string
+		want       engine.Completion
+		limit      time.Duration
+	}{
+		"completion": {path: "/v1/completions", body: `{"model":"small","prompt":"grüße","max_tokens":5}`,
+			headers: []string{"Goldcrest-Deadline", "9999999"},
+			want:    engine.Completion{Prompt: []byte("grüße"), PromptTokens: 2, MaxTokens: 5}, limit: 30 * time.Second},
+		"shorter deadline": {path: "/v1/completions", body: `{"model":"small","prompt":["x"]}`, headers: []string{"Goldcrest-Deadline", "2000"},
+			want: engine.Completion{Prompt: []byte("x"), PromptTokens: 1, MaxTokens: 256}, limit: 2 * time.Second},
+		"chat": {path: "/v1/chat/completions",
+			body: `{"model":"small","max_completion_tokens":9,"messages":[{"role":"system","content":"Be brief."},{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]}]}`,
+			want: engine.Completion{Prompt: []byte("system:\nBe brief.\nuser:\nab\nassistant:\n"), PromptTokens: 10, MaxTokens: 9}, limit: 30 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(t)
+			var got engine.Completion
+			before := time.Now()
+			r.complete = func(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
+				got = *c
+				return chunks(nil, "x")(ctx, c, sink)
+			}
+			resp, body := do(t, serve(t, r), request(t, "POST", tc.path, tc.body, append(tc.headers, "X-Request-Id", "mine")...))
+			if resp.StatusCode != 200 || resp.Header.Get("X-Request-Id") != "mine" || !strings.HasPrefix(got.ID, "mine-") {
+				t.Errorf("got %d, ID %q, header %q: %s", resp.StatusCode, got.ID, resp.Header.Get("X-Request-Id"), body)
+			}
+			if got.Deadline.Before(before.Add(tc.limit)) || got.Deadline.After(time.Now().Add(tc.limit)) {
+				t.Errorf("deadline %v after the start, want %v", got.Deadline.Sub(before), tc.limit)
+			}
+			tc.want.ID, tc.want.Deadline, tc.want.Prefix = got.ID, got.Deadline, xxhash.Sum64(tc.want.Prompt)
+			tc.want.Customer, tc.want.Model, tc.want.Priority, tc.want.FirstToken, tc.want.Idempotent = "deskTeam", "small", 3, 500*time.Millisecond, true
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// events reads the server-sent events of a body as "name|data".
+func events(body string) []string {
+	var list []string
+	name := ""
+	for s := bufio.NewScanner(strings.NewReader(body)); s.Scan(); {
+		if v, ok := strings.CutPrefix(s.Text(), "event: "); ok {
+			name = v
+		}
+		if v, ok := strings.CutPrefix(s.Text(), "data: "); ok {
+			list = append(list, name+"|"+v)
+			name = ""
+		}
+	}
+	return list
+}
+
+// A client takes a broken stream for a whole answer where [DONE] follows a failure, and shows replacement characters where a
+// character is spread over two events.
+func TestStreams(t *testing.T) {
+	send := func(list ...engine.Chunk) func(context.Context, *engine.Completion, engine.Sink) error {
+		return func(_ context.Context, _ *engine.Completion, sink engine.Sink) error {
+			for _, c := range list {
+				if err := sink.Chunk(c); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+	}
+	failed := customer.Fail(customer.ReasonEndpointFailed, "broken")
+	for name, tc := range map[string]struct {
+		complete func(context.Context, *engine.Completion, engine.Sink) error
+		texts    []string // texts of the events
+		failure  string   // reason in the error event, or ""
+		whole    string   // the same answer without stream, or "" where it fails
+	}{
+		"whole":           {complete: chunks(nil, "a", "b"), texts: []string{"a", "b"}, whole: "ab"},
+		"empty":           {complete: chunks(nil), whole: ""},
+		"split character": {complete: chunks(nil, "a\xe2", "\x82", "\xacb"), texts: []string{"a", "€b"}, whole: "a€b"},
+		"cut character":   {complete: chunks(nil, "a\xe2\x82"), texts: []string{"a", "\ufffd\ufffd"}, whole: "a\ufffd\ufffd"},
+		"failure":         {complete: chunks(failed, "a"), texts: []string{"a"}, failure: "endpointFailed"},
+		"no end mark":     {complete: send(engine.Chunk{Text: "a"}), texts: []string{"a"}, failure: "internal"},
+		"gap":             {complete: send(engine.Chunk{Text: "a"}, engine.Chunk{Offset: 2, Text: "c"}), texts: []string{"a"}, failure: "internal"},
+		"early end mark":  {complete: send(engine.Chunk{Text: "a"}, engine.Chunk{Offset: 9, End: true}), texts: []string{"a"}, failure: "internal"},
+		"repeated bytes": {complete: send(engine.Chunk{Text: "ab"}, engine.Chunk{Text: "ab"}, engine.Chunk{Offset: 1, Text: "bc"},
+			engine.Chunk{Offset: 3, End: true}), texts: []string{"ab", "c"}, whole: "abc"},
+		"late attempt": {complete: send(engine.Chunk{Attempt: 2, Text: "a"}, engine.Chunk{Attempt: 1, Offset: 1, Text: "z"},
+			engine.Chunk{Attempt: 2, Offset: 1, Text: "b", End: true}), texts: []string{"a", "b"}, whole: "ab"},
+		"resumed attempt": {complete: send(engine.Chunk{Text: "a"}, engine.Chunk{Attempt: 1, Offset: 1, Text: "b", End: true}),
+			texts: []string{"a", "b"}, whole: "ab"},
+		"new attempt": {complete: send(engine.Chunk{Text: "a"}, engine.Chunk{Attempt: 1, Text: "xy", End: true}), texts: []string{"a"},
+			failure: "internal", whole: "xy"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(t)
+			r.complete = tc.complete
+			registry := metrics.NewRegistry()
+			c := serve(t, r, caller.WithRegistry(registry))
+			_, body := do(t, c, request(t, "POST", "/v1/completions", `{"model":"small","prompt":"x","stream":true}`))
+			var texts []string
+			reason, done := "", false
+			for _, e := range events(body) {
+				name, data, _ := strings.Cut(e, "|")
+				switch {
+				case data == "[DONE]":
+					done = true
+				case name == "error":
+					reason = decodeFailure(t, data).Error.Reason
+				default:
+					var v struct{ Choices []struct{ Text string } }
+					if err := json.Unmarshal([]byte(data), &v); err != nil {
+						t.Fatal(err)
+					}
+					if text := v.Choices[0].Text; text != "" {
+						texts = append(texts, text)
+					}
+				}
+			}
+			if diff := cmp.Diff(tc.texts, texts); diff != "" || reason != tc.failure || done != (tc.failure == "") {
+				t.Errorf("failure %q, [DONE] %v, texts: %s\n%s", reason, done, diff, body)
+			}
+			answered := registry.Get("caller.answered.whole").(metrics.Counter).Count()
+			if (answered == 1) != done {
+				t.Errorf("answers counted whole: %d", answered)
+			}
+			if tc.failure != "" && tc.whole == "" {
+				return
+			}
+			_, body = do(t, c, request(t, "POST", "/v1/completions", `{"model":"small","prompt":"x"}`))
+			var v struct{ Choices []struct{ Text string } }
+			if err := json.Unmarshal([]byte(body), &v); err != nil || len(v.Choices) != 1 || v.Choices[0].Text != tc.whole {
+				t.Errorf("without stream: %s (%v), want %q", body, err, tc.whole)
+			}
+		})
+	}
+}
+
+// Clients of the OpenAI API read these documents; a renamed or missing field breaks them.
+func TestOpenAIShape(t *testing.T) {
+	r := newRouter(t)
+	c := serve(t, r)
+	for path, tc := range map[string]struct{ body, want string }{
+		"/v1/completions": {`{"model":"small","prompt":"x"}`,
+			`{"choices":[{"finish_reason":"stop","index":0,"logprobs":null,"text":"hello"}],"model":"small","object":"text_completion","usage":{"completion_tokens":1,"prompt_tokens":7,"prompt_tokens_details":{"cached_tokens":2},"total_tokens":8}}`},
+		"/v1/chat/completions": {`{"model":"small","messages":[{"role":"user","content":"x"}],"max_tokens":1}`,
+			`{"choices":[{"finish_reason":"length","index":0,"logprobs":null,"message":{"content":"hello","role":"assistant"}}],"model":"small","object":"chat.completion","usage":{"completion_tokens":1,"prompt_tokens":7,"prompt_tokens_details":{"cached_tokens":2},"total_tokens":8}}`},
+	} {
+		_, body := do(t, c, request(t, "POST", path, tc.body))
+		if got := withoutVarying(t, body); got != tc.want {
+			t.Errorf("%s:\n got %s\nwant %s", path, got, tc.want)
+		}
+	}
+	_, body := do(t, c, request(t, "POST", "/v1/chat/completions",
+		`{"model":"small","messages":[{"role":"user","content":"x"}],"stream":true,"stream_options":{"include_usage":true}}`))
+	var got []string
+	for _, e := range events(body) {
+		if data := strings.TrimPrefix(e, "|"); data != "[DONE]" {
+			e = withoutVarying(t, data)
+		}
+		got = append(got, e)
+	}
+	const tail = `,"model":"small","object":"chat.completion.chunk"`
+	want := []string{
+		`{"choices":[{"delta":{"content":"","role":"assistant"},"finish_reason":null,"index":0,"logprobs":null}]` + tail + `}`,
+		`{"choices":[{"delta":{"content":"hello"},"finish_reason":null,"index":0,"logprobs":null}]` + tail + `}`,
+		`{"choices":[{"delta":{},"finish_reason":"stop","index":0,"logprobs":null}]` + tail + `}`,
+		`{"choices":[]` + tail + `,"usage":{"completion_tokens":1,"prompt_tokens":7,"prompt_tokens_details":{"cached_tokens":2},"total_tokens":8}}`,
+		`|[DONE]`,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	_, body = do(t, c, request(t, "GET", "/v1/models", ""))
+	if want := `{"object":"list","data":[{"id":"small","object":"model","created":0,"owned_by":"goldcrestpath"}]}` + "\n"; body != want {
+		t.Errorf("models: %s", body)
+	}
+}
+
+// withoutVarying returns the JSON object in sorted order, without its ID and time.
+func withoutVarying(t *testing.T, data string) string {
+	t.Helper()
+	var v map[string]any
+	if err := json.Unmarshal([]byte(data), &v); err != nil {
+		t.Fatalf("%s: %v", data, err)
+	}
+	delete(v, "id")
+	delete(v, "created")
+	b, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// A body above its bound, or above the memory of all bodies, must be refused with an answer and must leave no memory held.
+func TestBodyBounds(t *testing.T) {
+	prompt := strings.Repeat("x", 300<<10)
+	body := `{"model":"small","prompt":"` + prompt + `"}`
+	for name, tc := range map[string]struct {
+		opts    []caller.Option
+		chunked bool
+		status  int
+		reason  customer.Reason
+	}{
+		"fits":           {status: 200},
+		"fits chunked":   {status: 200, chunked: true},
+		"above":          {opts: []caller.Option{caller.WithBodyLimit(len(body) - 1)}, status: 413, reason: customer.ReasonTooLarge},
+		"above chunked":  {opts: []caller.Option{caller.WithBodyLimit(len(body) - 1)}, chunked: true, status: 413, reason: customer.ReasonTooLarge},
+		"at the bound":   {opts: []caller.Option{caller.WithBodyLimit(len(body))}, chunked: true, status: 200},
+		"memory":         {opts: []caller.Option{caller.WithBodyMemory(len(body))}, status: 503, reason: customer.ReasonNotReady},
+		"memory chunked": {opts: []caller.Option{caller.WithBodyMemory(len(body))}, chunked: true, status: 503, reason: customer.ReasonNotReady},
+		"enough memory":  {opts: []caller.Option{caller.WithBodyMemory(4 * len(body))}, status: 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(t)
+			var got int
+			r.complete = func(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
+				got = len(c.Prompt)
+				return chunks(nil, "x")(ctx, c, sink)
+			}
+			c := serve(t, r, tc.opts...)
+			// The second request shows that the first one holds nothing.
+			for range 2 {
+				req := request(t, "POST", "/v1/completions", body)
+				if tc.chunked {
+					req.ContentLength = -1
+				}
+				resp, answer := do(t, c, req)
+				if resp.StatusCode != tc.status || (tc.status == 200 && got != len(prompt)) {
+					t.Fatalf("got %d and a prompt of %d bytes: %.200s", resp.StatusCode, got, answer)
+				}
+				if tc.status != 200 && decodeFailure(t, answer).Error.Reason != string(tc.reason) {
+					t.Errorf("got %s, want %s", answer, tc.reason)
+				}
+			}
+		})
+	}
+}
+
+// A plain service must get and give the same bytes as without the VM between, or signed and cached calls break.
+func TestServiceByteForByte(t *testing.T) {
+	r := newRouter(t)
+	var got *service.Request
+	var response *service.Response
+	r.call = func(_ context.Context, req *service.Request) (*service.Response, error) {
+		got = req
+		return response, nil
+	}
+	ln := fasthttputil.NewInmemoryListener()
+	serveOn(t, ln, r)
+	conn, err := ln.Dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+
+	response = &service.Response{Status: 201, Body: []byte("\x00\xffdone"), Headers: []service.Header{
+		{Name: "content-type", Value: "application/x-own"}, {Name: "x-lower", Value: "1"}, {Name: "X-Twice", Value: "a"}, {Name: "X-Twice", Value: "b"},
+		{Name: "Set-Cookie", Value: "a=1; Path=/"}, {Name: "Set-Cookie", Value: "a=2"}, {Name: "Connection", Value: "X-Hop"}, {Name: "X-Hop", Value: "1"},
+		{Name: "Date", Value: "Thu, 01 Jan 2026 00:00:00 GMT"}, {Name: "Server", Value: "own"}}}
+	io.WriteString(conn, "PUT /services/booking//a/../b%2Fc?q=1&q=%20 HTTP/1.1\r\nHost: vm\r\nAuthorization: Bearer "+apiKey+
+		"\r\nx-lower: 1\r\nX-Twice: b\r\nX-Twice: a\r\nConnection: X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nIdempotency-Key: k1\r\n"+
+		"goldcrest-strict: true\r\nX-Request-Id: mine\r\nContent-Length: 3\r\n\r\n\x00\xff\n")
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	want := &service.Request{ID: got.ID, Customer: "deskTeam", Service: "booking", Method: "PUT", Path: "//a/../b%2Fc?q=1&q=%20",
+		Headers: []service.Header{{Name: "Host", Value: "vm"}, {Name: "Authorization", Value: "Bearer " + apiKey}, {Name: "x-lower", Value: "1"},
+			{Name: "X-Twice", Value: "b"}, {Name: "X-Twice", Value: "a"}, {Name: "Idempotency-Key", Value: "k1"},
+			{Name: "goldcrest-strict", Value: "true"}, {Name: "X-Request-Id", Value: "mine"}},
+		Body: []byte("\x00\xff\n"), Key: "k1", Strict: true, Deadline: got.Deadline}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	wantHeader := http.Header{"Content-Type": {"application/x-own"}, "X-Lower": {"1"}, "X-Twice": {"a", "b"}, "Set-Cookie": {"a=1; Path=/", "a=2"},
+		"Date": {"Thu, 01 Jan 2026 00:00:00 GMT"}, "Server": {"own"}, "X-Request-Id": {"mine"}, "Content-Length": {"6"}}
+	if diff := cmp.Diff(wantHeader, resp.Header); diff != "" || resp.StatusCode != 201 || !bytes.Equal(body, response.Body) {
+		t.Errorf("got %d %q, headers: %s", resp.StatusCode, body, diff)
+	}
+
+	// A HEAD answer tells the length of a body that it does not have.
+	response = &service.Response{Status: 200, Headers: []service.Header{{Name: "Content-Length", Value: "77"}}}
+	io.WriteString(conn, "HEAD /services/booking HTTP/1.1\r\nHost: vm\r\nAuthorization: Bearer "+apiKey+"\r\n\r\n")
+	resp, err = http.ReadResponse(reader, &http.Request{Method: "HEAD"})
+	if err != nil || resp.ContentLength != 77 || got.Path != "/" || got.Method != "HEAD" {
+		t.Errorf("HEAD: %v, %+v, request %+v", err, resp, got)
+	}
+}
--- a/customer/contract.go
+++ b/customer/contract.go
@@ -53,6 +53,7 @@
 	longestPrompt   int
 	models          map[string]bool
 	services        map[string]bool
+	values          map[string]string  // text of the [contract] keys
 	keys            map[keyHash]string // label by hash
 	firstToken      [numClasses]time.Duration
 	deadline        [numClasses]time.Duration
@@ -104,28 +105,7 @@
 func (c *Contract) Services() []string { return sortedNames(c.services) }
 
 // Line returns the place of a [contract] key and its value, to be named in refusals.
-func (c *Contract) Line(key string) string {
-	var value string
-	switch key {
-	case "weight":
-		value = strconv.Itoa(c.weight)
-	case "priority":
-		value = strconv.Itoa(c.priority)
-	case "tokensPerSecond":
-		value = strconv.Itoa(c.tokensPerSecond)
-	case "burst":
-		value = strconv.Itoa(c.burst)
-	case "concurrent":
-		value = strconv.Itoa(c.concurrent)
-	case "longestPrompt":
-		value = strconv.Itoa(c.longestPrompt)
-	case "models":
-		value = strings.Join(c.Models(), ", ")
-	case "services":
-		value = strings.Join(c.Services(), ", ")
-	}
-	return c.line(sectionContract, key, value)
-}
+func (c *Contract) Line(key string) string { return c.line(sectionContract, key, c.values[key]) }
 
 // DeadlineLine returns the place of a class's deadline and its value, to be named in refusals.
 func (c *Contract) DeadlineLine(class Class) string {
@@ -198,6 +178,7 @@
 		{"concurrent", &c.concurrent, 1, maxConcurrent},
 		{"longestPrompt", &c.longestPrompt, 1, maxPromptTokens},
 	}
+	c.values = s.KeysHash()
 	known := map[string]bool{"name": true, "models": true, "services": true}
 	c.name = s.Key("name").Value()
 	if !namePattern.MatchString(c.name) {
--- /dev/null
+++ b/customer/customer_test.go
@@ -0,0 +1,357 @@
+package customer_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"goldcrestpath/customer"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func hashOf(key string) string {
+	h := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(h[:])
+}
+
+// contractText returns a valid contract in which the replacements, in pairs of old and new text, are made.
+func contractText(replacements ...string) string {
+	return strings.NewReplacer(replacements...).Replace(`[contract]
+name = deskTeam
+weight = 2
+priority = 3
+tokensPerSecond = 4000
+burst = 20000
+concurrent = 8
+longestPrompt = 10000
+models = small, large
+services = booking
+[keys]
+first = ` + hashOf("k1") + `
+second = ` + hashOf("k2") + `
+[firstToken]
+short = 500ms
+[deadline]
+short = 30s
+medium = 1m
+long = 2m
+veryLong = 10m
+`)
+}
+
+func parse(t interface{ Fatal(...any) }, replacements ...string) *customer.Contract {
+	c, err := customer.ParseContract("contract.ini", []byte(contractText(replacements...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A value that is read into the wrong limit lets one customer take the share of others.
+func TestContract(t *testing.T) {
+	c := parse(t)
+	l := c.Limits()
+	got := fmt.Sprint(c.Name(), " ", c.Weight(), c.Priority(), l.TokensPerSecond(), l.Burst(), l.Concurrent(), l.LongestPrompt(),
+		c.AllowsModel("large"), c.AllowsModel("other"), c.AllowsService("booking"), c.AllowsService("small"),
+		l.FirstToken(customer.Short), l.FirstToken(customer.Long), l.Deadline(customer.Medium), l.Deadline(customer.VeryLong))
+	if want := "deskTeam 2 3 4000 20000 8 10000 true false true false 500ms 0s 1m0s 10m0s"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if got, want := c.Line("models"), "contract deskTeam: [contract] models = small, large"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// An operator who sees one problem at a time publishes a half-corrected contract; one that names no place can't be found.
+func TestContractProblems(t *testing.T) {
+	for name, tc := range map[string]struct {
+		replace []string
+		want    []string // "section/key" of each problem
+	}{
+		"no INI":          {[]string{"weight = 2", "weight"}, []string{"/"}},
+		"unknown key":     {[]string{"weight", "wieght"}, []string{"contract/weight", "contract/wieght"}},
+		"unknown section": {[]string{"[firstToken]", "[firsttoken]"}, []string{"firsttoken/"}},
+		"outside":         {[]string{"[contract]\n", "x = 1\n[contract]\n"}, []string{"/x"}},
+		"repeated key":    {[]string{"weight = 2", "weight = 2\nweight = 2"}, []string{"contract/weight"}},
+		"numbers":         {[]string{"weight = 2", "weight = 0", "= 3\n", "= 1.5\n", "= 8", "= -8", "4000", "99999999999999999999"}, []string{"contract/weight", "contract/priority", "contract/tokensPerSecond", "contract/concurrent"}},
+		"burst":           {[]string{"20000", "9999"}, []string{"contract/burst"}},
+		"name":            {[]string{"deskTeam", "desk team"}, []string{"contract/name"}},
+		"list":            {[]string{"small, large", "small,, small"}, []string{"contract/models", "contract/models"}},
+		"nothing allowed": {[]string{"small, large", "", "booking", ""}, []string{"contract/models"}},
+		"key":             {[]string{hashOf("k1"), "k1"}, []string{"keys/first"}},
+		"same key":        {[]string{hashOf("k2"), hashOf("k1")}, []string{"keys/second"}},
+		"durations":       {[]string{"500ms", "500", "= 30s", "=", "10m", "25h"}, []string{"firstToken/short", "deadline/short", "deadline/veryLong"}},
+		"first token":     {[]string{"500ms", "31s"}, []string{"firstToken/short"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := customer.ParseContract("contract.ini", []byte(contractText(tc.replace...)))
+			problems, ok := err.(customer.Problems)
+			if !ok {
+				t.Fatalf("error %T %v", err, err)
+			}
+			var got []string
+			for _, p := range problems {
+				got = append(got, p.Section+"/"+p.Key)
+				if p.File != "contract.ini" || p.Allowed == "" || !strings.HasPrefix(p.String(), "contract.ini: ") {
+					t.Errorf("incomplete problem %+v", p)
+				}
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// A key that selects the wrong contract gives one customer's limits and models to another.
+func TestBook(t *testing.T) {
+	a := parse(t)
+	b := parse(t, "deskTeam", "labTeam", hashOf("k1"), hashOf("k3"), hashOf("k2"), hashOf("k4"))
+	book, err := customer.NewBook([]*customer.Contract{a, b})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, want := range map[string]*customer.Contract{"k1": a, "k2": a, "k3": b, "k4": b, "k5": nil, "": nil} {
+		if got, ok := book.ByKey(key); got != want || ok != (want != nil) {
+			t.Errorf("key %q: got %v %v", key, got, ok)
+		}
+	}
+	for name, other := range map[string]*customer.Contract{"name": parse(t), "key": parse(t, "deskTeam", "labTeam")} {
+		if _, err := customer.NewBook([]*customer.Contract{a, other}); err == nil {
+			t.Errorf("two contracts with the same %s were taken", name)
+		}
+	}
+}
+
+// A refusal without its contract line can't be explained to the customer, and one without a wait is repeated at once.
+func TestLimiterRefusals(t *testing.T) {
+	c := parse(t, "concurrent = 8", "concurrent = 2")
+	whole := c.Limits().Part(1, 1, epoch.Add(time.Hour))
+	whole.Tokens = 20_000
+	small := c.Limits().Part(1, 4, epoch.Add(time.Hour))
+	small.Concurrent = 2
+	for name, tc := range map[string]struct {
+		part          *customer.Part
+		before        []int // tokens of requests that are running
+		at            time.Duration
+		prompt, limit int
+		reason        customer.Reason
+		line          string
+		wait          time.Duration
+	}{
+		"long prompt":   {part: &whole, prompt: 10_001, reason: customer.ReasonPromptTooLong, line: "longestPrompt = 10000"},
+		"above burst":   {part: &whole, prompt: 10_000, limit: 10_001, reason: customer.ReasonPromptTooLong, line: "burst = 20000"},
+		"no part":       {prompt: 1, reason: customer.ReasonTokenRate, line: "tokensPerSecond = 4000", wait: time.Second},
+		"expired":       {part: &whole, at: time.Hour, prompt: 1, reason: customer.ReasonTokenRate, line: "tokensPerSecond = 4000", wait: time.Second},
+		"small part":    {part: &small, at: time.Minute, prompt: 5_001, reason: customer.ReasonTokenRate, line: "burst = 20000", wait: time.Second},
+		"empty bucket":  {part: &whole, before: []int{10_000}, prompt: 9_000, limit: 5_000, reason: customer.ReasonTokenRate, line: "tokensPerSecond = 4000", wait: time.Second},
+		"after refill":  {part: &whole, before: []int{10_000}, at: time.Second, prompt: 9_000, limit: 5_000},
+		"concurrency":   {part: &whole, before: []int{1, 1}, prompt: 1, reason: customer.ReasonConcurrency, line: "concurrent = 2", wait: time.Second},
+		"part is empty": {part: &small, prompt: 1, limit: 999, reason: customer.ReasonTokenRate, line: "tokensPerSecond = 4000", wait: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := customer.NewLimiter()
+			if tc.part != nil {
+				l.SetPart(epoch, c.Name(), *tc.part)
+			}
+			for _, n := range tc.before {
+				if _, r := l.Admit(epoch, c, n, 0); r != nil {
+					t.Fatal(r)
+				}
+			}
+			_, r := l.Admit(epoch.Add(tc.at), c, tc.prompt, tc.limit)
+			if tc.reason == "" {
+				if r != nil {
+					t.Error(r)
+				}
+				return
+			}
+			if r == nil || r.Reason() != tc.reason || r.Verdict() != customer.NotRun || r.RetryAfter() != tc.wait ||
+				!strings.HasSuffix(r.Message(), "contract deskTeam: [contract] "+tc.line) {
+				t.Errorf("got %v after %v, want %s %v with %s", r, r.RetryAfter(), tc.reason, tc.wait, tc.line)
+			}
+		})
+	}
+}
+
+// Several VMs together admitted more than the contract where a part kept its tokens after its expiry, or came with a full
+// bucket. The model moves shares between VMs and checks rate x time + burst and the running requests.
+func TestLimiterNeverAboveContract(t *testing.T) {
+	const shares = 4
+	rapid.Check(t, func(t *rapid.T) {
+		c := parse(t, "20000", "10000", "= 8", "= 4")
+		limits := c.Limits()
+		vms := []*customer.Limiter{customer.NewLimiter(), customer.NewLimiter(), customer.NewLimiter()}
+		lent := make([]int, len(vms))
+		until := make([]time.Time, len(vms))
+		var running [3][]*customer.Admission
+		now, charged := epoch, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"lease": func(t *rapid.T) {
+				vm := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
+				free := shares
+				for i := range vms {
+					if i != vm && now.Before(until[i]) {
+						free -= lent[i]
+					}
+				}
+				lent[vm], until[vm] = rapid.IntRange(0, free).Draw(t, "shares"), now.Add(4*time.Second)
+				vms[vm].SetPart(now, c.Name(), limits.Part(lent[vm], shares, until[vm]))
+			},
+			"admit": func(t *rapid.T) {
+				vm := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
+				if a, r := vms[vm].Admit(now, c, rapid.IntRange(1, 4000).Draw(t, "prompt"), rapid.IntRange(0, 1000).Draw(t, "limit")); r == nil {
+					charged += a.Charged()
+					running[vm] = append(running[vm], a)
+				}
+			},
+			"end": func(t *rapid.T) {
+				vm := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
+				if len(running[vm]) == 0 {
+					t.Skip()
+				}
+				a := running[vm][0]
+				running[vm] = running[vm][1:]
+				used := rapid.IntRange(0, a.Charged()).Draw(t, "used")
+				charged -= a.Charged() - used
+				a.End(now, used)
+				a.End(now, 0) // must not refund again
+			},
+			"": func(t *rapid.T) {
+				if bound := float64(limits.TokensPerSecond())*now.Sub(epoch).Seconds() + float64(limits.Burst()); float64(charged) > bound {
+					t.Fatalf("%d tokens after %v, bound %.0f", charged, now.Sub(epoch), bound)
+				}
+				for vm := range vms {
+					if len(running[vm]) > limits.Concurrent() {
+						t.Fatalf("%d requests run on one VM", len(running[vm]))
+					}
+				}
+			},
+		})
+	})
+}
+
+// A use above the estimate that is not charged lets a customer exceed its rate by sending text that is estimated too low.
+func TestLimiterCorrection(t *testing.T) {
+	for name, tc := range map[string]struct {
+		used int
+		want customer.Reason // of a request of 10,000 tokens one second later
+	}{
+		"as charged": {used: 10_000},
+		"less":       {used: 100},
+		"more":       {used: 20_000, want: customer.ReasonTokenRate},
+		"wild":       {used: 1 << 60, want: customer.ReasonTokenRate},
+		"negative":   {used: -1 << 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := parse(t)
+			l := customer.NewLimiter(customer.WithWholeContracts())
+			a, r := l.Admit(epoch, c, 10_000, 0)
+			if r != nil {
+				t.Fatal(r)
+			}
+			a.End(epoch, tc.used)
+			_, r = l.Admit(epoch.Add(time.Second), c, 10_000, 0)
+			if (r == nil) != (tc.want == "") || (r != nil && r.Reason() != tc.want) {
+				t.Errorf("got %v, want %q", r, tc.want)
+			}
+			// The largest correction is repaid within the time that 16 charges take.
+			if _, r := l.Admit(epoch.Add(time.Minute), c, 10_000, 0); r != nil {
+				t.Errorf("after a minute: %v", r)
+			}
+		})
+	}
+}
+
+// Retries that grow with failures instead of successes turn an endpoint's failure into an overload of the others.
+func TestRetryBudget(t *testing.T) {
+	const ratio, floorRate, floorBurst, vmRate, vmBurst = 0.1, 0.5, 2, 1, 4
+	rapid.Check(t, func(t *rapid.T) {
+		b := customer.NewRetryBudget(customer.WithRetryRatio(ratio), customer.WithRetryFloor(floorRate, floorBurst),
+			customer.WithVMRetryFloor(vmRate, vmBurst))
+		now := epoch
+		earned, spent := map[string]float64{}, map[string]float64{}
+		names := rapid.SampledFrom([]string{"a", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"earn": func(t *rapid.T) {
+				name := names.Draw(t, "customer")
+				earned[name]++
+				b.Earn(now, name)
+			},
+			"spend": func(t *rapid.T) {
+				if name := names.Draw(t, "customer"); b.Spend(now, name) {
+					spent[name]++
+				}
+			},
+			"": func(t *rapid.T) {
+				seconds, allEarned, allSpent := now.Sub(epoch).Seconds(), 0.0, 0.0
+				for name, n := range spent {
+					allSpent += n
+					if bound := ratio*earned[name] + floorRate*seconds + floorBurst; n > bound+1e-6 {
+						t.Fatalf("%v retries of %s, bound %v", n, name, bound)
+					}
+				}
+				for _, n := range earned {
+					allEarned += n
+				}
+				if bound := ratio*allEarned + vmRate*seconds + vmBurst; allSpent > bound+1e-6 {
+					t.Fatalf("%v retries of the VM, bound %v", allSpent, bound)
+				}
+			},
+		})
+	})
+}
+
+// A wait without jitter makes all callers of a failed endpoint retry at the same moment; one without limit never retries.
+func TestBackoff(t *testing.T) {
+	for attempt, want := range []time.Duration{5, 10, 20, 40, 50, 50} {
+		b := customer.NewBackoff(10*time.Millisecond, 100*time.Millisecond, func() float64 { return 0.5 })
+		if got := b.Delay(attempt); got != want*time.Millisecond {
+			t.Errorf("attempt %d: %v, want %v", attempt, got, want*time.Millisecond)
+		}
+	}
+	if got := customer.NewBackoff(time.Second, time.Hour, func() float64 { return 0.999 }).Delay(1 << 40); got >= time.Hour {
+		t.Errorf("got %v", got)
+	}
+}
+
+// One wild report must not move the estimate far, and many equal ones have to reach their value.
+func TestEstimator(t *testing.T) {
+	e := customer.NewEstimator()
+	if got := e.Estimate("m", 4001); got != 1001 {
+		t.Errorf("default: %d", got)
+	}
+	for _, wild := range [][2]int{{1, 1 << 40}, {1 << 40, 1}, {0, 5}, {5, 0}, {-1, -1}} {
+		before := e.Estimate("m", 1_000_000)
+		e.Observe("m", wild[0], wild[1])
+		if got := e.Estimate("m", 1_000_000); float64(got) < 0.9*float64(before) || float64(got) > 1.1*float64(before) {
+			t.Errorf("%v moved the estimate from %d to %d", wild, before, got)
+		}
+	}
+	for range 400 {
+		e.Observe("m", 3000, 1500)
+		e.Observe("n", 30, 1<<40)
+	}
+	if got := e.Estimate("m", 1_000_000); got < 490_000 || got > 510_000 {
+		t.Errorf("after 400 reports of 2 bytes a token: %d", got)
+	}
+	if got := e.Estimate("n", 1_000_000); got > 1_000_000 {
+		t.Errorf("more tokens than bytes: %d", got)
+	}
+	if got := e.Estimate("other", 400); got != 100 {
+		t.Errorf("another model: %d", got)
+	}
+}
--- a/customer/limiter.go
+++ b/customer/limiter.go
@@ -197,6 +197,9 @@
 // Charged returns the tokens that were charged at admission.
 func (a *Admission) Charged() int { return a.charged }
 
+// maxCorrection bounds a reported use, as a multiple of the charge. It is the widest error that the token estimate can have.
+const maxCorrection = maxBytesPerToken / minBytesPerToken
+
 // End corrects the charge by the tokens that were used. What was used beyond the charge is a debt that the bucket repays
 // before it admits anything else. A second call does nothing.
 func (a *Admission) End(now time.Time, usedTokens int) {
@@ -212,7 +215,8 @@
 		s.expire(now)
 	}
 	s.bucket.advance(now)
-	s.bucket.add(float64(a.charged - max(0, usedTokens)))
+	used := min(float64(max(0, usedTokens)), float64(a.charged)*maxCorrection)
+	s.bucket.add(float64(a.charged) - used)
 }
 
 // bucket is a token bucket over explicit time. Its level is below zero while a debt is repaid.
