Derive answers from the part of the request ID that the caller chose

Entry VMs append suffixes to the ID of the caller and to each attempt, so that a client could not know the ID that the engine saw. Clients now send an ID and verify the answer against it.

--- a/cmd/goldlab/lab_test.go
+++ b/cmd/goldlab/lab_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"goldcrestpath/customer"
+	"goldcrestpath/operator"
 	"goldcrestpath/standin"
 )
 
@@ -73,15 +74,15 @@
 	}
 }
 
-// choose returns the next engine outside drained data centres and a new request ID.
-func (f *fakeSite) choose() (*standin.Engine, string) {
+// choose returns the next engine outside drained data centres.
+func (f *fakeSite) choose() *standin.Engine {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for {
 		f.n++
 		dc := f.lab.cfg.dataCentres[f.n%len(f.lab.cfg.dataCentres)]
 		if !f.drained[dc] {
-			return f.lab.engines[dc][f.n/3%len(f.lab.engines[dc])], fmt.Sprintf("r%d", f.n)
+			return f.lab.engines[dc][f.n/3%len(f.lab.engines[dc])]
 		}
 	}
 }
@@ -89,9 +90,9 @@
 func (f *fakeSite) complete(w http.ResponseWriter, r *http.Request) {
 	var q map[string]any
 	json.NewDecoder(r.Body).Decode(&q)
-	e, id := f.choose()
+	e := f.choose()
+	id := r.Header.Get("X-Request-Id") + "-1"
 	tokens := len(q["prompt"].(string))/standin.TokenBytes + int(q["max_tokens"].(float64))
-	w.Header().Set("X-Request-Id", id)
 	q["request_id"], q["holder"], q["reserved_tokens"] = id, "fake", tokens
 	if f.fault != "overcommit" {
 		q["group_tokens"] = max(0, tokens-1000)
@@ -199,7 +200,12 @@
 			t.Error(err)
 		}
 	}
-	if s := l.settings(l.places[0]) + l.fleet(); strings.Contains(s, "= \n") {
-		t.Errorf("a value is empty:\n%s", s)
+	for _, p := range l.places {
+		if _, err := operator.ParseSettings(p.name, []byte(l.settings(p))); err != nil {
+			t.Error(err)
+		}
+	}
+	if _, err := operator.ParseFleet("fleet", []byte(l.fleet())); err != nil {
+		t.Error(err)
 	}
 }
--- a/cmd/goldlab/site.go
+++ b/cmd/goldlab/site.go
@@ -52,6 +52,9 @@
 // loopback lets the system select a port.
 const loopback = "127.0.0.1:0"
 
+// tokenFile has the operators' token, beside the settings files.
+const tokenFile = "operator.token"
+
 // claimRetention is how long idempotency keys are kept in labs.
 const claimRetention = 10 * time.Minute
 
@@ -67,7 +70,7 @@
 	section(&b, "vm", "place", p.name, "dataCentre", p.dataCentre, "stopDelay", "200ms")
 	section(&b, "caller", "listen", p.caller)
 	section(&b, "peer", "listen", p.peer, "contacts", strings.Join(contacts, ", "))
-	section(&b, "operator", "listen", p.operator)
+	section(&b, "operator", "listen", p.operator, "tokenFile", tokenFile)
 	relays := l.relays[p.dataCentre]
 	section(&b, "platform", "log", relays[0].Address(), "vmList", relays[1].Address(), "weightStore", relays[2].Address(),
 		"claimRetention", claimRetention.String())
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -11,12 +11,24 @@
 
 const answerAlphabet = "abcdefghijklmnopqrstuvwxyz012345"
 
-// Answer returns the text of n tokens that an engine generates for a request, a function of the request ID and the model. A
-// client that knows both can verify that an answer is whole and its own.
+// CallerID returns the part of a request ID that the caller chose: everything before the first character that is neither a
+// letter nor a digit. Entry VMs append suffixes to make IDs unique and to tell attempts apart.
+func CallerID(requestID string) string {
+	end := strings.IndexFunc(requestID, func(r rune) bool {
+		return (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	})
+	if end < 0 {
+		return requestID
+	}
+	return requestID[:end]
+}
+
+// Answer returns the text of n tokens that an engine generates for a request, a function of the CallerID of the request ID
+// and the model. A client that knows both can verify that an answer is whole and its own.
 func Answer(requestID, model string, n int) string {
 	var b strings.Builder
 	b.Grow(n * TokenBytes)
-	seed := xxhash.Sum64String(model + "\x00" + requestID)
+	seed := xxhash.Sum64String(model + "\x00" + CallerID(requestID))
 	for i := range n {
 		x := mix(seed + uint64(i))
 		b.WriteByte(answerAlphabet[x&31])
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -58,6 +58,7 @@
 	report       engineReport
 	reported     time.Time
 	ran          map[string]uint64 // instance in which each request ID ran last
+	callers      map[string]struct{}
 	counters     EngineCounters
 }
 
@@ -120,6 +121,7 @@
 		reservations: map[string]*reservation{},
 		cache:        newPrefixCache(cfg),
 		ran:          map[string]uint64{},
+		callers:      map[string]struct{}{},
 	}
 	e.takeReport(now)
 	s, err := newServer(address, e.handler())
@@ -182,11 +184,11 @@
 	return e.cold
 }
 
-// Ran says whether the engine accepted a request, in its present start or an earlier one.
+// Ran says whether the engine accepted any attempt of a request, in its present start or an earlier one.
 func (e *Engine) Ran(requestID string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, ok := e.ran[requestID]
+	_, ok := e.callers[CallerID(requestID)]
 	return ok
 }
 
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -141,8 +141,10 @@
 	}
 	if len(e.ran) >= rememberedIDs {
 		clear(e.ran)
+		clear(e.callers)
 	}
 	e.ran[s.id] = e.instance
+	e.callers[CallerID(s.id)] = struct{}{}
 	e.arrivals++
 	e.counters.Accepted++
 	s.arrival = e.arrivals
--- a/standin/load.go
+++ b/standin/load.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -65,7 +67,7 @@
 // Outcome is the result of one send.
 type Outcome struct {
 	Arrival   Arrival
-	RequestID string
+	RequestID string // sent as X-Request-Id
 	Target    string
 	Status    Status
 	HTTP      int // status code, 0 without an answer
@@ -88,6 +90,7 @@
 	targets   []*loadTarget
 	client    *http.Client
 	progress  io.Writer
+	id        string // begins the request IDs, different for each load
 
 	turn      atomic.Uint64
 	sent      atomic.Int64
@@ -108,7 +111,8 @@
 	if len(addresses) == 0 || len(cfg.Customers) == 0 {
 		return nil, errors.New("a load needs at least one target and one customer")
 	}
-	l := &Load{cfg: cfg, deadlines: deadlines, progress: progress, client: &http.Client{Transport: &http.Transport{
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	l := &Load{cfg: cfg, deadlines: deadlines, progress: progress, id: id, client: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 512,
 		DisableCompression:  true,
@@ -224,10 +228,10 @@
 
 // Send makes one request that was to be sent at intended, and verifies its answer.
 func (l *Load) Send(ctx context.Context, a Arrival, intended time.Time) Outcome {
-	o := Outcome{Arrival: a, Target: l.pick(), Late: time.Since(intended), Deadline: l.deadlines[a.Class()]}
+	id := fmt.Sprintf("%sn%d", l.id, l.sent.Add(1))
+	o := Outcome{Arrival: a, RequestID: id, Target: l.pick(), Late: time.Since(intended), Deadline: l.deadlines[a.Class()]}
 	ctx, cancel := context.WithDeadline(ctx, intended.Add(o.Deadline+giveUpAfter))
 	defer cancel()
-	l.sent.Add(1)
 	var err error
 	if a.Booking {
 		err = l.book(ctx, &o)
@@ -265,6 +269,7 @@
 		}
 		r.Header.Set("Authorization", "Bearer "+o.Arrival.Customer.APIKey)
 		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set("X-Request-Id", o.RequestID)
 		resp, err := l.client.Do(r)
 		var op *net.OpError
 		if err != nil && errors.As(err, &op) && op.Op == "dial" && tries < len(l.targets) {
@@ -275,7 +280,7 @@
 			o.Status, o.Reason = Broken, "connection"
 			return nil, err
 		}
-		o.HTTP, o.RequestID = resp.StatusCode, resp.Header.Get("X-Request-Id")
+		o.HTTP = resp.StatusCode
 		return resp, nil
 	}
 }
@@ -333,7 +338,6 @@
 
 // completionEvent is one event of a streamed completion.
 type completionEvent struct {
-	ID      string `json:"id"`
 	Choices []struct {
 		Text         string  `json:"text"`
 		FinishReason *string `json:"finish_reason"`
@@ -349,7 +353,8 @@
 		Prompt    string `json:"prompt"`
 		MaxTokens int    `json:"max_tokens"`
 		Stream    bool   `json:"stream"`
-	}{a.Model, a.Prompt(), a.MaxTokens, true})
+		Options   any    `json:"stream_options"`
+	}{a.Model, a.Prompt(), a.MaxTokens, true, map[string]bool{"include_usage": true}})
 	if err != nil {
 		return err
 	}
@@ -387,9 +392,6 @@
 			o.fail(ev.wireError, resp.Header)
 			return nil
 		}
-		if o.RequestID == "" {
-			o.RequestID = ev.ID
-		}
 		for _, c := range ev.Choices {
 			if c.Text != "" && o.First == 0 {
 				o.First = time.Since(intended)
--- a/standin/load_test.go
+++ b/standin/load_test.go
@@ -10,7 +10,6 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,20 +70,18 @@
 	}
 }
 
-// fakeVM answers completions with answer, which gets the request ID and the request's own text.
-func fakeVM(t *testing.T, answer func(w http.ResponseWriter, id, text string)) string {
+// fakeVM answers completions with answer, which gets the request's own text.
+func fakeVM(t *testing.T, answer func(w http.ResponseWriter, text string)) string {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", func(http.ResponseWriter, *http.Request) {})
-	var n atomic.Int64
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
 		var q struct {
 			Model     string
 			MaxTokens int `json:"max_tokens"`
 		}
 		json.NewDecoder(r.Body).Decode(&q)
-		id := fmt.Sprintf("r%d", n.Add(1))
-		w.Header().Set("X-Request-Id", id)
-		answer(w, id, standin.Answer(id, q.Model, q.MaxTokens))
+		id := r.Header.Get("X-Request-Id")
+		answer(w, standin.Answer(id, q.Model, q.MaxTokens))
 	})
 	srv := httptest.NewServer(mux)
 	t.Cleanup(srv.Close)
@@ -100,26 +97,26 @@
 func TestLoadVerifies(t *testing.T) {
 	for _, c := range []struct {
 		name      string
-		answer    func(w http.ResponseWriter, id, text string)
+		answer    func(w http.ResponseWriter, text string)
 		status    standin.Status
 		reason    string
 		violation bool
 	}{
-		{"whole", func(w http.ResponseWriter, _, text string) {
+		{"whole", func(w http.ResponseWriter, text string) {
 			event(w, text[:4])
 			event(w, text[4:])
 			fmt.Fprint(w, "data: [DONE]\n\n")
 		}, standin.Answered, "", false},
-		{"without end mark", func(w http.ResponseWriter, _, text string) { event(w, text) }, standin.Broken, "connection", false},
-		{"another request's", func(w http.ResponseWriter, _, text string) {
+		{"without end mark", func(w http.ResponseWriter, text string) { event(w, text) }, standin.Broken, "connection", false},
+		{"another request's", func(w http.ResponseWriter, text string) {
 			event(w, "x"+text[1:])
 			fmt.Fprint(w, "data: [DONE]\n\n")
 		}, standin.Foreign, "", true},
-		{"refused", func(w http.ResponseWriter, _, _ string) {
+		{"refused", func(w http.ResponseWriter, _ string) {
 			w.WriteHeader(http.StatusTooManyRequests)
 			fmt.Fprint(w, `{"error":{"reason":"tokenRate","verdict":"notRun"}}`)
 		}, standin.Refused, "tokenRate", false},
-		{"failed in mid answer", func(w http.ResponseWriter, _, text string) {
+		{"failed in mid answer", func(w http.ResponseWriter, text string) {
 			event(w, text[:4])
 			fmt.Fprint(w, `data: {"error":{"reason":"endpointFailed","verdict":"mayHaveRun"}}`+"\n\n")
 		}, standin.Failed, "endpointFailed", false},
--- a/standin/schedule.go
+++ b/standin/schedule.go
@@ -96,10 +96,10 @@
 	var b strings.Builder
 	b.Grow(a.Tokens * TokenBytes)
 	if a.Prefix >= 0 {
-		b.WriteString(Answer(fmt.Sprintf("prefix %d", a.Prefix), a.Customer.Name, min(a.Tokens, sharedPrefixTokens)))
+		b.WriteString(Answer(fmt.Sprintf("prefix%d", a.Prefix), a.Customer.Name, min(a.Tokens, sharedPrefixTokens)))
 	}
 	// Long prompts repeat a random block, which costs the generator less than a million random tokens.
-	block := Answer(fmt.Sprintf("prompt %d %d", a.seed, a.Number), a.Model, 1_021)
+	block := Answer(fmt.Sprintf("prompt%dx%d", a.seed, a.Number), a.Model, 1_021)
 	for b.Len()+len(block) <= a.Tokens*TokenBytes {
 		b.WriteString(block)
 	}
