Tell a body that never fits from one that has to wait

A body above the memory of all bodies was answered notReady with Retry-After, so its caller repeated it for ever. It is now tooLarge. The memory that is held is a gauge. A VM that is not ready closes its callers' connections, so that none is idle on them when the listener closes.

--- a/caller/body.go
+++ b/caller/body.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"goldcrestpath/customer"
 )
 
@@ -31,6 +29,9 @@
 	bytes  int64
 }
 
+// possible says whether n bytes fit where nothing else is held.
+func (m *memory) possible(n int) bool { return int64(n) <= m.limit }
+
 // resize changes what is held to n bytes, or changes nothing and returns false where the memory is used up.
 func (h *hold) resize(n int) bool {
 	delta := int64(n) - h.bytes
@@ -59,7 +60,7 @@
 			return nil, x.tooLarge()
 		}
 		if !h.resize(len(body)) {
-			return nil, x.noMemory()
+			return nil, x.noMemory(len(body))
 		}
 		return append([]byte(nil), body...), nil
 	}
@@ -74,7 +75,7 @@
 			size := min(max(bodyStep, 2*cap(body)), most)
 			// The old and the new buffer exist together while the bytes are copied.
 			if !h.resize(cap(body) + size) {
-				return nil, x.dropBody(x.noMemory())
+				return nil, x.dropBody(x.noMemory(cap(body) + size))
 			}
 			grown := make([]byte, len(body), size)
 			copy(grown, body)
@@ -102,7 +103,12 @@
 	return customer.Refuse(customer.ReasonTooLarge, fmt.Sprintf("the body is longer than %d bytes", x.server.bodyLimit))
 }
 
-func (x *exchange) noMemory() *customer.Refusal {
+// noMemory refuses a request that needs so many bytes. Waiting helps only where others hold the memory.
+func (x *exchange) noMemory(bytes int) *customer.Refusal {
+	if !x.server.memory.possible(bytes) {
+		return customer.Refuse(customer.ReasonTooLarge,
+			fmt.Sprintf("the body needs more than the %d bytes of memory for request bodies", x.server.memory.limit))
+	}
 	return customer.Refuse(customer.ReasonNotReady, "the memory for request bodies is used up",
 		customer.RetryAfter(memoryRetryAfter))
 }
@@ -116,5 +122,3 @@
 	}
 	return r
 }
-
-var _ fasthttp.Logger = httpLogger{}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"goldcrestpath/customer"
@@ -167,10 +168,11 @@
 	}
 }
 
-// asRefusal returns the refusal in err. A bare context error becomes the context's cause.
+// asRefusal returns the refusal in err. An error without one becomes the context's cause where the context has ended.
 func asRefusal(ctx context.Context, err error) *customer.Refusal {
-	if err == context.Canceled || err == context.DeadlineExceeded {
-		err = context.Cause(ctx)
+	var r *customer.Refusal
+	if cause := context.Cause(ctx); cause != nil && !errors.As(err, &r) {
+		err = cause
 	}
 	return customer.AsRefusal(err)
 }
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -48,7 +48,7 @@
 		return nil, nil, refusal
 	}
 	if !h.resize(parseFactor * len(body)) {
-		return nil, nil, x.noMemory()
+		return nil, nil, x.noMemory(parseFactor * len(body))
 	}
 	g, err := parseGeneration(body, chat, x.server.maxTokens)
 	if err != nil {
--- a/caller/metrics.go
+++ b/caller/metrics.go
@@ -10,11 +10,12 @@
 
 // Names of the metrics. A reason or a length class follows the ones that end in a dot.
 const (
-	metricRefused  = "caller.refused."
-	metricWhole    = "caller.answered.whole"
-	metricLate     = "caller.answered.late"
-	metricTTFT     = "caller.ttftMillis."
-	metricRequests = "caller.requests"
+	metricRefused   = "caller.refused."
+	metricWhole     = "caller.answered.whole"
+	metricLate      = "caller.answered.late"
+	metricTTFT      = "caller.ttftMillis."
+	metricRequests  = "caller.requests"
+	metricBodyBytes = "caller.bodyBytes"
 )
 
 // Sample size and decay of the TTFT histograms: the sample stands mainly for the last five minutes.
--- a/caller/server.go
+++ b/caller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"runtime/debug"
 	"strings"
@@ -112,6 +113,7 @@
 		opt(s)
 	}
 	s.counts = newCounts(s.registry)
+	metrics.NewRegisteredFunctionalGauge(metricBodyBytes, s.registry, s.memory.used.Load)
 	s.base, s.cancel = context.WithCancelCause(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:      s.handle,
@@ -160,6 +162,10 @@
 			x.refuse(customer.Fail(customer.ReasonInternal, "internal failure"))
 		}
 	}()
+	if !s.router.Ready() {
+		// Moves callers with open connections to other VMs before the listener closes.
+		ctx.SetConnectionClose()
+	}
 	path, _ := x.splitURI()
 	if name, ok := strings.CutPrefix(path, servicesPrefix); ok {
 		x.callService(name)
@@ -177,7 +183,7 @@
 	case "/readyz":
 		x.allow(fasthttp.MethodGet, x.answerReady)
 	default:
-		x.refuseAs(fasthttp.StatusNotFound, customer.Refuse(customer.ReasonBadRequest, "unknown path "+path))
+		x.refuseAs(fasthttp.StatusNotFound, customer.Refuse(customer.ReasonBadRequest, fmt.Sprintf("unknown path %q", path)))
 	}
 }
 
@@ -201,6 +207,8 @@
 	x.text(fasthttp.StatusServiceUnavailable, "not ready\n")
 }
 
+var _ fasthttp.Logger = httpLogger{}
+
 // httpLogger passes fasthttp's own messages, which belong to connections and not to requests.
 type httpLogger struct{ log log.Interface }
 
--- a/customer/limiter.go
+++ b/customer/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sort"
 	"sync"
 	"time"
 )
@@ -124,7 +125,8 @@
 	return &Admission{limiter: l, state: s, charged: tokens}, nil
 }
 
-// Demands returns what customers asked of this VM since the last call, and starts the counts again.
+// Demands returns what customers asked of this VM since the last call, in the order of their names, and
+// starts the counts again.
 func (l *Limiter) Demands() []Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -135,6 +137,7 @@
 		demands = append(demands, d)
 		s.demand = Demand{}
 	}
+	sort.Slice(demands, func(i, j int) bool { return demands[i].Customer < demands[j].Customer })
 	return demands
 }
 
