--- a/standin/load_test.go
+++ b/standin/load_test.go
@@ -109,7 +109,7 @@
 		}, standin.Answered, "", false},
 		{"without end mark", func(w http.ResponseWriter, text string) { event(w, text) }, standin.Broken, "connection", false},
 		{"another request's", func(w http.ResponseWriter, text string) {
-			event(w, "x"+text[1:])
+			event(w, "X"+text[1:]) // answers have small letters only
 			fmt.Fprint(w, "data: [DONE]\n\n")
 		}, standin.Foreign, "", true},
 		{"refused", func(w http.ResponseWriter, _ string) {
