--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -232,3 +232,45 @@
 		}
 	}
 }
+
+// TestEngineLeaks guards against reservations that are held for ever without being counted, and against counting those of a
+// holder whose stream still runs on another engine.
+func TestEngineLeaks(t *testing.T) {
+	other := testEngine(t, func(cfg *standin.EngineConfig) { cfg.TimeScale = 1e-3 })
+	e := testEngine(t, func(cfg *standin.EngineConfig) { cfg.LeakAfter = 0 })
+	e.SetPeers(e, other)
+	running := completion("r1", 10, 10)
+	running["group_tokens"] = 5
+	send(t, t.Context(), other, "POST", "/v1/completions", running)
+	for _, holder := range []string{"jm-a/1", "jm-a/2"} {
+		body := map[string]any{"id": holder, "holder": holder, "incarnation": 1, "tokens": 5}
+		call(t, "POST", e.Address(), "/v1/reservations", body, nil)
+	}
+	for e.Counters().Leaks == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// The first is counted in the same pass as the second would be.
+	if n := e.Counters().Leaks; n != 1 {
+		t.Errorf("%d leaks, want the one of jm-a/2", n)
+	}
+}
+
+// TestEngineFreeze guards against a frozen engine that answers or generates, and one that does not go on after the thaw.
+func TestEngineFreeze(t *testing.T) {
+	e := testEngine(t, nil)
+	e.Freeze()
+	status := make(chan int)
+	go func() { status <- call(t, "GET", e.Address(), "/v1/report", nil, nil) }()
+	select {
+	case s := <-status:
+		t.Errorf("a frozen engine answered %d", s)
+	default:
+	}
+	e.Thaw()
+	if s := <-status; s != 200 {
+		t.Errorf("after the thaw: status %d", s)
+	}
+	if _, whole := read(t, send(t, t.Context(), e, "POST", "/v1/completions", completion("r1", 10, 2))); !whole {
+		t.Error("no whole answer after the thaw")
+	}
+}
