--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"goldcrestpath/engine"
+	"goldcrestpath/entry"
 	"goldcrestpath/service"
 )
 
@@ -25,7 +26,7 @@
 type Fleet struct {
 	dataCentres []string
 	regions     map[string]string
-	places      []Place
+	places      []entry.Place
 	engines     []engine.Spec
 	services    []service.Spec
 	groups      []Group
@@ -38,7 +39,7 @@
 func (f *Fleet) Region(dataCentre string) string { return f.regions[dataCentre] }
 
 // Places returns the VMs' places in the order of the document.
-func (f *Fleet) Places() []Place { return slices.Clone(f.places) }
+func (f *Fleet) Places() []entry.Place { return slices.Clone(f.places) }
 
 // Engines returns the model engines in the order of the document.
 func (f *Fleet) Engines() []engine.Spec { return slices.Clone(f.engines) }
@@ -130,7 +131,7 @@
 
 func (p *fleetParser) vm(s *iniSection, name string) {
 	dataCentre, address := p.site(s)
-	p.fleet.places = append(p.fleet.places, Place{Name: name, DataCentre: dataCentre, Address: address})
+	p.fleet.places = append(p.fleet.places, entry.Place{Name: name, DataCentre: dataCentre, Address: address})
 }
 
 // endpoint reports a name that another endpoint has. Engines and services share one space of names, because drains name
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"goldcrestpath/customer"
+	"goldcrestpath/engine"
 )
 
 // Defaults of the settings.
@@ -44,7 +45,13 @@
 	claimRetention time.Duration
 	logFormat      string
 	logLevel       string
-	policy         string
+	policy         engine.Policy
+}
+
+var policies = map[string]engine.Policy{
+	"affinity":         engine.PolicyAffinity,
+	"roundRobin":       engine.PolicyRoundRobin,
+	"leastOutstanding": engine.PolicyLeastOutstanding,
 }
 
 type tlsFiles struct{ certificate, key, authority string }
@@ -95,7 +102,7 @@
 	s.logLevel = logging.choice("level", "info", "debug", "warn", "error")
 
 	routing := f.section("routing")
-	s.policy = routing.choice("policy", "affinity", "roundRobin", "leastOutstanding")
+	s.policy = policies[routing.choice("policy", "affinity", "roundRobin", "leastOutstanding")]
 
 	known := []*iniSection{vm, caller, peer, operator, platform, logging, routing}
 	names := make([]string, len(known))
@@ -185,8 +192,8 @@
 // LogLevel returns debug, info, warn or error.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
-// Policy returns the routing policy: affinity, roundRobin or leastOutstanding.
-func (s *Settings) Policy() string { return s.policy }
+// Policy returns the routing policy.
+func (s *Settings) Policy() engine.Policy { return s.policy }
 
 // Token reads the operators' token from its file.
 func (s *Settings) Token() (string, error) {
