Add the operators' HTTP API with its client and metrics

Operators need to publish, show, drain and read the status of each VM. A document is checked before it goes to the log, and conflicts and findings keep their types up to the client. The metrics of the registry are served as JSON and in the Prometheus text format.

--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,181 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"goldcrestpath/platform"
+)
+
+// clientTimeout bounds one call of a client, above the server's own limit.
+const clientTimeout = callTimeout + 5*time.Second
+
+// answerLimit bounds an answer in memory; a history holds several documents, in base64.
+const answerLimit = 256 << 20
+
+// APIError is an error answer of the operators' API that has no type of its own.
+type APIError struct {
+	Status  int
+	Code    string
+	Message string
+	current uint64 // current revision after a conflict
+}
+
+// Error implements error.
+func (e *APIError) Error() string {
+	return fmt.Sprintf("%s (status %d): %s", e.Code, e.Status, e.Message)
+}
+
+// Client calls the operators' API of one VM. It repeats no call.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// ClientOption changes a Client.
+type ClientOption func(*Client)
+
+// WithTLS makes the client use TLS.
+func WithTLS(cfg *tls.Config) ClientOption {
+	return func(c *Client) {
+		c.base = "https" + strings.TrimPrefix(c.base, "http")
+		c.http.Transport.(*http.Transport).TLSClientConfig = cfg
+	}
+}
+
+// NewClient returns a client of the API at an IP address and port.
+func NewClient(address, token string, opts ...ClientOption) *Client {
+	dialer := &net.Dialer{Timeout: clientTimeout}
+	c := &Client{
+		base:  "http://" + address,
+		token: token,
+		http:  &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DialContext: dialer.DialContext}},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call sends one request and decodes the answer into out.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	data, err := c.raw(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(data, out), "decode answer")
+}
+
+func (c *Client) raw(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if resp.StatusCode == http.StatusOK {
+		return data, nil
+	}
+	var e wireError
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, &APIError{Status: resp.StatusCode, Code: codeBadRequest, Message: strings.TrimSpace(string(data))}
+	}
+	if e.Code == codeProblems {
+		return nil, e.Problems
+	}
+	return nil, &APIError{Status: resp.StatusCode, Code: e.Code, Message: e.Message, current: e.Current}
+}
+
+// Publish publishes a document and returns its revision. The error is a *platform.ConflictError where base is not the
+// current revision, and of type customer.Problems where the content is not accepted.
+func (c *Client) Publish(ctx context.Context, document string, base uint64, content []byte) (uint64, error) {
+	var out wireRevision
+	err := c.call(ctx, http.MethodPut, fmt.Sprintf("/documents/%s?base=%d", escape(document), base), content, &out)
+	var e *APIError
+	if errors.As(err, &e) && e.Code == codeConflict {
+		return 0, &platform.ConflictError{Document: document, Base: base, Current: e.current}
+	}
+	return out.Revision, err
+}
+
+// Document returns the newest revision of a document.
+func (c *Client) Document(ctx context.Context, document string) (platform.Document, error) {
+	var out wireDocument
+	err := c.call(ctx, http.MethodGet, "/documents/"+escape(document), nil, &out)
+	return out.document(), err
+}
+
+// escape makes a name safe in a path. Its slashes stay.
+func escape(name string) string { return (&url.URL{Path: name}).EscapedPath() }
+
+func (w wireDocument) document() platform.Document {
+	return platform.Document{Name: w.Name, Revision: w.Revision, Offset: w.Offset, Time: w.Time, Content: w.Content}
+}
+
+// Documents returns all documents without their content.
+func (c *Client) Documents(ctx context.Context) ([]platform.Document, error) {
+	return c.list(ctx, "/documents")
+}
+
+// History returns the revisions of a document that the VM has read, oldest first.
+func (c *Client) History(ctx context.Context, document string) ([]platform.Document, error) {
+	return c.list(ctx, "/history/"+escape(document))
+}
+
+func (c *Client) list(ctx context.Context, path string) ([]platform.Document, error) {
+	var out []wireDocument
+	if err := c.call(ctx, http.MethodGet, path, nil, &out); err != nil {
+		return nil, err
+	}
+	list := make([]platform.Document, len(out))
+	for i, w := range out {
+		list[i] = w.document()
+	}
+	return list, nil
+}
+
+// SetDrain changes a drain register.
+func (c *Client) SetDrain(ctx context.Context, target string, drained bool) (DrainStatus, error) {
+	body, err := json.Marshal(wireDrain{Drained: drained})
+	if err != nil {
+		return DrainStatus{}, err
+	}
+	var out DrainStatus
+	err = c.call(ctx, http.MethodPut, "/drains/"+escape(target), body, &out)
+	return out, err
+}
+
+// Status returns the VM's status.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.call(ctx, http.MethodGet, "/status", nil, &out)
+	return out, err
+}
+
+// Metrics returns the VM's metrics in the Prometheus text format.
+func (c *Client) Metrics(ctx context.Context) ([]byte, error) {
+	return c.raw(ctx, http.MethodGet, "/metrics", nil)
+}
--- /dev/null
+++ b/operator/document.go
@@ -0,0 +1,81 @@
+package operator
+
+import (
+	"slices"
+	"strings"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/platform"
+)
+
+// Kind is the kind of an INI file.
+type Kind string
+
+// Kinds of files.
+const (
+	KindSettings Kind = "settings"
+	KindFleet    Kind = "fleet"
+	KindContract Kind = "contract"
+)
+
+var (
+	settingsSections = []string{"vm", "caller", "peer", "operator", "platform", "log", "routing"}
+	contractSections = []string{"contract", "keys", "firstToken", "deadline"}
+	fleetKinds       = []string{"dataCentre", "vm", "engine", "service", "group"}
+)
+
+// KindOf tells the kind of a file by the first section that only one kind has.
+func KindOf(file string, data []byte) (Kind, error) {
+	f := parseINI(file, data)
+	for _, s := range f.sections {
+		kind, _, named := strings.Cut(s.name, " ")
+		switch {
+		case named && slices.Contains(fleetKinds, kind):
+			return KindFleet, nil
+		case slices.Contains(settingsSections, s.name):
+			return KindSettings, nil
+		case slices.Contains(contractSections, s.name):
+			return KindContract, nil
+		}
+	}
+	if len(f.problems) == 0 {
+		f.problem("", "", "", "the sections of a settings file, a fleet document or a contract")
+	}
+	return "", f.err()
+}
+
+// Check checks a file of any kind. The error is of type customer.Problems.
+func Check(file string, data []byte) (Kind, error) {
+	kind, err := KindOf(file, data)
+	if err != nil {
+		return "", err
+	}
+	switch kind {
+	case KindSettings:
+		_, err = ParseSettings(file, data)
+	case KindFleet:
+		_, err = ParseFleet(file, data)
+	case KindContract:
+		_, err = customer.ParseContract(file, data)
+	}
+	return kind, err
+}
+
+// CheckDocument checks the content of a document before it is published. The error is of type customer.Problems.
+func CheckDocument(name string, content []byte) error {
+	if name == platform.FleetDocument {
+		_, err := ParseFleet(name, content)
+		return err
+	}
+	if !platform.ValidDocument(name) {
+		return customer.Problems{{File: name, Allowed: "the documents " + platform.FleetDocument + " and " + platform.ContractPrefix + "NAME"}}
+	}
+	c, err := customer.ParseContract(name, content)
+	if err != nil {
+		return err
+	}
+	if want := strings.TrimPrefix(name, platform.ContractPrefix); c.Name() != want {
+		return customer.Problems{{File: name, Section: "contract", Key: "name", Value: c.Name(), Allowed: "the name in the document's name, " + want}}
+	}
+	return nil
+}
--- /dev/null
+++ b/operator/server_test.go
@@ -0,0 +1,177 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/rcrowley/go-metrics"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/platform"
+)
+
+const testToken = "0123456789abcdef"
+
+// fakeAdmin keeps one revision of each document.
+type fakeAdmin struct {
+	documents map[string]platform.Document
+	drain     platform.Drain
+	err       error
+}
+
+var _ Admin = (*fakeAdmin)(nil)
+
+func (a *fakeAdmin) Publish(_ context.Context, name string, base uint64, content []byte) (uint64, error) {
+	current := a.documents[name].Revision
+	switch {
+	case a.err != nil:
+		return 0, a.err
+	case base != current:
+		return 0, &platform.ConflictError{Document: name, Base: base, Current: current}
+	}
+	a.documents[name] = platform.Document{Name: name, Revision: base + 1, Content: content}
+	return base + 1, nil
+}
+
+func (a *fakeAdmin) Document(name string) (platform.Document, bool) {
+	d, ok := a.documents[name]
+	return d, ok
+}
+
+func (a *fakeAdmin) Documents() []platform.Document { return a.History("fleet") }
+
+func (a *fakeAdmin) History(name string) []platform.Document {
+	return []platform.Document{a.documents[name]}
+}
+
+func (a *fakeAdmin) SetDrain(_ context.Context, target string, drained bool) (platform.Drain, error) {
+	a.drain = platform.Drain{Target: target, Generation: a.drain.Generation + 1, Drained: drained}
+	return a.drain, nil
+}
+
+func (a *fakeAdmin) Status(context.Context) (Status, error) {
+	return Status{Place: "jm-a/1", Ready: true, Drains: []DrainStatus{NewDrainStatus(a.drain)}}, nil
+}
+
+// startServer serves an admin on a loopback port and returns its address.
+func startServer(t *testing.T, a Admin, r metrics.Registry, opts ...Option) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet := WithLogger(&log.Logger{Handler: discard.New(), Level: log.ErrorLevel})
+	s := NewServer(a, r, append([]Option{WithToken(testToken), quiet}, opts...)...)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		if err := s.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return ln.Addr().String()
+}
+
+// Guards against errors that lose their type, their current revision or their findings between server and client.
+func TestPublishOverHTTP(t *testing.T) {
+	a := &fakeAdmin{documents: map[string]platform.Document{}}
+	c := NewClient(startServer(t, a, metrics.NewRegistry()), testToken)
+	defer c.Close()
+	contract := readSample(t, "contract.ini")
+	if revision, err := c.Publish(t.Context(), "contract/choir", 0, contract); err != nil || revision != 1 {
+		t.Fatalf("publish: revision %d, %v", revision, err)
+	}
+	var conflict *platform.ConflictError
+	_, err := c.Publish(t.Context(), "contract/choir", 0, contract)
+	if want := (platform.ConflictError{Document: "contract/choir", Current: 1}); !errors.As(err, &conflict) || *conflict != want {
+		t.Errorf("publish on an old base: %v", err)
+	}
+	var problems customer.Problems
+	if _, err := c.Publish(t.Context(), "contract/other", 0, contract); !errors.As(err, &problems) || problems[0].Value != "choir" {
+		t.Errorf("publish under another name: %v", err)
+	}
+	if _, err := c.Publish(t.Context(), "fleet", 0, []byte("[x]\n")); !errors.As(err, &problems) || problems[0].Section != "x" {
+		t.Errorf("publish of a bad fleet: %v", err)
+	}
+	d, err := c.Document(t.Context(), "contract/choir")
+	if err != nil || d.Revision != 1 || !bytes.Equal(d.Content, contract) {
+		t.Errorf("show: %+v, %v", d, err)
+	}
+	var answer *APIError
+	if _, err := c.Document(t.Context(), "fleet"); !errors.As(err, &answer) || answer.Code != codeNotFound {
+		t.Errorf("show of an unknown document: %v", err)
+	}
+	a.err = errors.Wrap(platform.Unknown(errors.New("lost")), "publish")
+	if _, err := c.Publish(t.Context(), "contract/choir", 1, contract); !errors.As(err, &answer) || answer.Code != codeUnknown {
+		t.Errorf("publish with a lost answer: %v", err)
+	}
+}
+
+// Guards against an API that answers without the right token.
+func TestToken(t *testing.T) {
+	a := &fakeAdmin{}
+	for name, address := range map[string]string{
+		"token":    startServer(t, a, metrics.NewRegistry()),
+		"no token": startServer(t, a, metrics.NewRegistry(), WithToken("")),
+	} {
+		for _, token := range []string{"", "0123456789abcdee", testToken + "0"} {
+			c := NewClient(address, token)
+			var answer *APIError
+			if _, err := c.SetDrain(t.Context(), "vm/jm-a/1", true); !errors.As(err, &answer) || answer.Status != http.StatusUnauthorized {
+				t.Errorf("%s: call with token %q: %v", name, token, err)
+			}
+			c.Close()
+		}
+	}
+	if a.drain.Generation != 0 {
+		t.Error("a refused call took effect")
+	}
+}
+
+// Guards against metrics that Prometheus cannot read, and against registry names that collide or are lost.
+func TestMetrics(t *testing.T) {
+	r := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("caller.refused.tokenRate", r).Inc(3)
+	metrics.GetOrRegisterGauge("entry.members.alive", r).Update(2)
+	metrics.GetOrRegisterHistogram("caller.ttftMillis.short", r, metrics.NewUniformSample(10)).Update(7)
+	metrics.GetOrRegisterTimer("caller.time", r)
+	c := NewClient(startServer(t, &fakeAdmin{}, r), testToken)
+	defer c.Close()
+	text, err := c.Metrics(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(bytes.NewReader(text))
+	if err != nil {
+		t.Fatalf("%v in:\n%s", err, text)
+	}
+	got := map[string]float64{}
+	for name, f := range families {
+		m := f.Metric[0]
+		got[name] = m.GetCounter().GetValue() + m.GetGauge().GetValue() + m.GetSummary().GetSampleSum()
+	}
+	want := map[string]float64{
+		"goldcrest_caller_refused_tokenRate": 3, "goldcrest_entry_members_alive": 2, "goldcrest_caller_ttftMillis_short": 7, "goldcrest_caller_time": 0,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("metrics:\n%s", diff)
+	}
+	asJSON, err := c.raw(t.Context(), http.MethodGet, "/metrics?format=json", nil)
+	if err != nil || !strings.Contains(string(asJSON), `"caller.refused.tokenRate":{"count":3}`) {
+		t.Errorf("JSON: %s, %v", asJSON, err)
+	}
+}
