Add the operators' command line

Operators work with files and exit codes: check tells the kind of a file by its sections and reports every problem of every file, publish exits 3 on a conflict and prints the current revision, drain and return can wait for the change and for running work. serve stands behind a function variable until package vm exists.

--- /dev/null
+++ b/cmd/goldcrest/check.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/operator"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check settings, fleet documents and contracts; the kind is told by the sections",
+		ArgsUsage: "FILE...",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if !cmd.Args().Present() {
+				return usagef("check takes at least one file")
+			}
+			var all customer.Problems
+			for _, file := range cmd.Args().Slice() {
+				kind, _, err := checkFile(file)
+				var problems customer.Problems
+				switch {
+				case err == nil:
+					fmt.Fprintf(cmd.Root().Writer, "%s: %s, no problems\n", file, kind)
+				case errors.As(err, &problems):
+					all = append(all, problems...)
+				default:
+					return err
+				}
+			}
+			if len(all) > 0 {
+				return all
+			}
+			return nil
+		},
+	}
+}
+
+// checkFile reads and checks one file of any kind.
+func checkFile(file string) (operator.Kind, []byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", nil, customer.Problems{{File: file, Allowed: "a readable file: " + err.Error()}}
+	}
+	kind, err := operator.Check(file, data)
+	return kind, data, err
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			fmt.Fprintln(cmd.Root().Writer, version())
+			return nil
+		},
+	}
+}
+
+// version returns the module's version and the revision that it was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "goldcrest (unknown)"
+	}
+	v := "goldcrest " + info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v += " " + s.Value
+		}
+	}
+	return v + " " + info.GoVersion
+}
--- a/cmd/goldcrest/main.go
+++ b/cmd/goldcrest/main.go
@@ -1,4 +1,106 @@
-// Command goldcrest.
+// Command goldcrest runs an entry VM and is the operators' command line.
+//
+// Exit codes:
+//
+//	0  done
+//	1  failed: a server does not answer or refuses, or the time is over
+//	2  wrong usage
+//	3  conflict: the base of a publication is not the current revision, which is printed
+//	4  a file has problems, which are printed with file, section, key, value and what is allowed
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/platform"
+)
+
+// Exit codes.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitProblems = 4
+)
+
+// usageError is a command line that is not understood.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+
+func usagef(format string, args ...any) error { return &usageError{errors.Errorf(format, args...)} }
+
+func main() {
+	os.Exit(run(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
+
+// run executes one command line and returns its exit code. Results go to stdout, errors to stderr.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	err := newCommand(stdout, stderr).Run(ctx, args)
+	if err == nil {
+		return exitDone
+	}
+	var (
+		usage    *usageError
+		conflict *platform.ConflictError
+		problems customer.Problems
+	)
+	switch {
+	case errors.As(err, &problems):
+		fmt.Fprintln(stderr, problems.Error())
+		return exitProblems
+	case errors.As(err, &conflict):
+		fmt.Fprintf(stderr, "goldcrest: %v\n", err)
+		fmt.Fprintln(stdout, conflict.Current)
+		return exitConflict
+	case errors.As(err, &usage):
+		fmt.Fprintf(stderr, "goldcrest: %v\n", err)
+		return exitUsage
+	}
+	fmt.Fprintf(stderr, "goldcrest: %v\n", err)
+	return exitFailed
+}
+
+func newCommand(stdout, stderr io.Writer) *cli.Command {
+	root := &cli.Command{
+		Name:           "goldcrest",
+		Usage:          "entry VM and operators' command line",
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			serveCommand(), checkCommand(), publishCommand(), showCommand(), historyCommand(),
+			drainCommand("drain", "take a target out of service; running work finishes", true),
+			drainCommand("return", "put a target back into service", false),
+			statusCommand(), versionCommand(),
+		},
+	}
+	root.Action = func(_ context.Context, cmd *cli.Command) error {
+		if cmd.Args().Present() {
+			return usagef("command %q is unknown; see goldcrest --help", cmd.Args().First())
+		}
+		return cli.ShowRootCommandHelp(cmd)
+	}
+	for _, cmd := range append(root.Commands, root) {
+		cmd.HideHelpCommand = true
+		cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} }
+	}
+	return root
+}
+
+// wantArgs returns the arguments, whose number has to be that of the names.
+func wantArgs(cmd *cli.Command, names ...string) ([]string, error) {
+	args := cmd.Args().Slice()
+	if len(args) != len(names) {
+		return nil, usagef("%s takes %d arguments %v, not %d", cmd.Name, len(names), names, len(args))
+	}
+	return args, nil
+}
--- /dev/null
+++ b/cmd/goldcrest/main_test.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"goldcrestpath/operator"
+	"goldcrestpath/platform"
+)
+
+const testToken = "0123456789abcdef"
+
+// fakeVM keeps one document, and reports work on a drained VM for a number of status calls.
+type fakeVM struct {
+	mu       sync.Mutex
+	document platform.Document
+	drain    platform.Drain
+	running  int
+}
+
+func (v *fakeVM) Publish(_ context.Context, name string, base uint64, content []byte) (uint64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if base != v.document.Revision {
+		return 0, &platform.ConflictError{Document: name, Base: base, Current: v.document.Revision}
+	}
+	v.document = platform.Document{Name: name, Revision: base + 1, Content: content}
+	return base + 1, nil
+}
+
+func (v *fakeVM) Document(string) (platform.Document, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.document, v.document.Revision > 0
+}
+
+func (v *fakeVM) Documents() []platform.Document { return v.History("") }
+
+func (v *fakeVM) History(string) []platform.Document {
+	d, _ := v.Document("")
+	return []platform.Document{d}
+}
+
+func (v *fakeVM) SetDrain(_ context.Context, target string, drained bool) (platform.Drain, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.drain = platform.Drain{Target: target, Generation: v.drain.Generation + 1, Drained: drained}
+	return v.drain, nil
+}
+
+func (v *fakeVM) Status(context.Context) (operator.Status, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := operator.Status{
+		Place: "jm-a/1", Running: v.running, Drains: []operator.DrainStatus{operator.NewDrainStatus(v.drain)},
+		Members: []operator.MemberStatus{{Place: "jm-a/2", State: "suspect"}}, Counters: map[string]int64{"tokenRate": 3},
+	}
+	v.running = max(0, v.running-1)
+	return s, nil
+}
+
+// startAPI serves a VM and returns the flags that reach it.
+func startAPI(t *testing.T, v *fakeVM) []string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet := operator.WithLogger(&log.Logger{Handler: discard.New(), Level: log.ErrorLevel})
+	s := operator.NewServer(v, metrics.NewRegistry(), operator.WithToken(testToken), quiet)
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Shutdown(context.Background()) })
+	token := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(token, []byte(testToken+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return []string{"--operator", ln.Addr().String(), "--tokenFile", token}
+}
+
+func goldcrest(args ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	code = run(context.Background(), append([]string{"goldcrest"}, args...), &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+// Guards against a sample that check does not accept.
+func TestCheckAcceptsSamples(t *testing.T) {
+	files, err := filepath.Glob("../../sample/*")
+	if err != nil || len(files) < 3 {
+		t.Fatalf("samples: %v, %v", files, err)
+	}
+	if code, stdout, stderr := goldcrest(append([]string{"check"}, files...)...); code != exitDone || strings.Count(stdout, "no problems") != len(files) {
+		t.Errorf("exit code %d\n%s%s", code, stdout, stderr)
+	}
+}
+
+// Guards against a check that stops at the first bad file, hides a position, or exits 0.
+func TestCheckReportsEveryFile(t *testing.T) {
+	dir := t.TempDir()
+	files := map[string]string{
+		"settings.ini": "[vm]\nplace = a/1\ndataCentre = a\n[caller]\nlisten = here:1\n[peer]\nlisten = 10.0.0.1:1\n[platform]\nlog = 10.0.0.1:2\n",
+		"fleet.ini":    "[dataCentre a]\nregion = r\nregions = s\n",
+		"contract.ini": "[contract]\nname = c\nwieght = 3\n",
+		"other.ini":    "[something]\n",
+	}
+	want := []string{
+		`settings.ini: [caller] listen = "here:1": allowed is an IP address and port`,
+		`fleet.ini: [dataCentre a] regions = "s": allowed is the keys region`,
+		`contract.ini: [contract] wieght = "3": allowed is`,
+		`other.ini: allowed is the sections of`,
+		`absent.ini: allowed is a readable file`,
+	}
+	args := []string{"check", filepath.Join(dir, "absent.ini")}
+	for name, text := range files {
+		args = append(args, filepath.Join(dir, name))
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	code, _, stderr := goldcrest(args...)
+	if code != exitProblems {
+		t.Errorf("exit code %d, want %d", code, exitProblems)
+	}
+	for _, line := range want {
+		if !strings.Contains(stderr, line) {
+			t.Errorf("%q is missing in:\n%s", line, stderr)
+		}
+	}
+}
+
+// Guards against scripts that cannot tell a conflict, a bad file, wrong usage and a dead VM apart.
+func TestExitCodes(t *testing.T) {
+	const contract, sampleFleet = "../../sample/contract.ini", "../../sample/fleet.ini"
+	v := &fakeVM{running: 2}
+	api := startAPI(t, v)
+	tests := []struct {
+		name           string
+		args           []string
+		api            bool
+		code           int
+		stdout, stderr string // parts
+	}{
+		{"publish", []string{"publish", "contract/choir", contract, "--base", "0"}, true, exitDone, "1\n", ""},
+		{"conflict", []string{"publish", "--base", "0", "contract/choir", contract}, true, exitConflict, "1\n", "base revision 0 is not the current revision 1"},
+		{"wrong name", []string{"publish", "contract/x", contract, "--base", "1"}, true, exitProblems, "", `contract/x: [contract] name = "choir"`},
+		{"wrong kind", []string{"publish", "contract/choir", sampleFleet, "--base", "1"}, true, exitProblems, "", "contract/choir: "},
+		{"no base", []string{"publish", "contract/choir", contract}, true, exitUsage, "", "base"},
+		{"show", []string{"show", "contract/choir"}, true, exitDone, "name = choir", "contract/choir: revision 1"},
+		{"list", []string{"show"}, true, exitDone, "contract/choir  1", ""},
+		{"history", []string{"history", "contract/choir"}, true, exitDone, "contract/choir  1", ""},
+		{"history without it", []string{"history", "--revision", "7", "contract/choir"}, true, exitFailed, "", "revision 7 is not in the history"},
+		{"drain", []string{"drain", "vm/jm-a/1", "--wait"}, true, exitDone, "drained true, generation 1", ""},
+		{"return", []string{"return", "vm/jm-a/1", "--wait"}, true, exitDone, "drained false, generation 2", ""},
+		{"bad target", []string{"drain", "jm-a/1"}, true, exitUsage, "", "allowed are dataCentre/NAME"},
+		{"status", []string{"status"}, true, exitDone, "jm-a/2  suspect", ""},
+		{"status as JSON", []string{"status", "--json"}, true, exitDone, `"tokenRate": 3`, ""},
+		{"unknown command", []string{"restart"}, false, exitUsage, "", `"restart" is unknown`},
+		{"unknown flag", []string{"check", "--all"}, false, exitUsage, "", "all"},
+		{"version", []string{"version"}, false, exitDone, "goldcrest ", ""},
+		{"serve without settings", []string{"serve", "--settings", "absent.ini"}, false, exitProblems, "", "absent.ini"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			args := tt.args
+			if tt.api {
+				args = append(args, api...)
+			}
+			code, stdout, stderr := goldcrest(args...)
+			if code != tt.code || !strings.Contains(stdout, tt.stdout) || !strings.Contains(stderr, tt.stderr) {
+				t.Errorf("exit code %d, want %d\nstdout: %s\nstderr: %s", code, tt.code, stdout, stderr)
+			}
+		})
+	}
+	if v.running != 0 {
+		t.Errorf("drain --wait returned with %d requests running", v.running)
+	}
+	if code, _, _ := goldcrest("status", "--operator", "127.0.0.1:1", api[2], api[3]); code != exitFailed {
+		t.Errorf("status of a dead VM: exit code %d, want %d", code, exitFailed)
+	}
+}
+
+// stoppingVM ends a graceful stop when it is closed.
+type stoppingVM struct{ closed chan struct{} }
+
+func (v stoppingVM) Shutdown(context.Context) error { <-v.closed; return nil }
+func (v stoppingVM) Close()                         { close(v.closed) }
+
+// Guards against a second signal that does not end a stop that hangs.
+func TestSecondSignal(t *testing.T) {
+	old := newVM
+	defer func() { newVM = old }()
+	log.SetHandler(discard.New())
+	newVM = func(*operator.Settings) (entryVM, error) { return stoppingVM{make(chan struct{})}, nil }
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGTERM
+	signals <- syscall.SIGTERM
+	if err := serve(t.Context(), nil, signals); err == nil {
+		t.Error("a stop that was cut off reports success")
+	}
+	newVM = func(*operator.Settings) (entryVM, error) { return nil, errors.New("no VM") }
+	if err := serve(t.Context(), nil, signals); err == nil {
+		t.Error("a VM that does not start reports success")
+	}
+}
--- a/operator/admin.go
+++ b/operator/admin.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 
 	"goldcrestpath/platform"
 )
@@ -83,3 +85,27 @@
 
 // NewDrainStatus returns a register as it stands in status output.
 func NewDrainStatus(d platform.Drain) DrainStatus { return DrainStatus(d) }
+
+// Missing says what of a drain change is not done as far as this VM knows, or "" where all is done: the change is applied
+// here, and after a drain no work is running at the target.
+func (s *Status) Missing(d DrainStatus) string {
+	i := slices.IndexFunc(s.Drains, func(have DrainStatus) bool { return have.Target == d.Target })
+	if i < 0 || s.Drains[i].Generation < d.Generation {
+		return s.Place + " has not applied the change"
+	}
+	if s.Drains[i] != d {
+		return fmt.Sprintf("%s has a newer change, generation %d", s.Place, s.Drains[i].Generation)
+	}
+	if !d.Drained {
+		return ""
+	}
+	if (d.Target == platform.VMPrefix+s.Place || d.Target == platform.DataCentrePrefix+s.DataCentre) && s.Running > 0 {
+		return fmt.Sprintf("%s has %d requests running", s.Place, s.Running)
+	}
+	for _, e := range s.Endpoints {
+		if d.Target == platform.EndpointPrefix+e.Name && e.Running > 0 {
+			return fmt.Sprintf("%s has %d requests running", e.Name, e.Running)
+		}
+	}
+	return ""
+}
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -230,7 +230,7 @@
 	if t.authority == "" {
 		return cfg, nil
 	}
-	pool, err := loadAuthority(s.resolve(t.authority))
+	pool, err := LoadAuthority(s.resolve(t.authority))
 	if err != nil {
 		return nil, err
 	}
@@ -238,7 +238,8 @@
 	return cfg, nil
 }
 
-func loadAuthority(file string) (*x509.CertPool, error) {
+// LoadAuthority reads the certificates of an authority in PEM form.
+func LoadAuthority(file string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Wrap(err, "load authority")
