--- a/service/client.go
+++ b/service/client.go
@@ -53,8 +53,8 @@
 	if err != nil {
 		return nil, failure(ctx, sent, err)
 	}
-	defer a.Close()
 	defer resp.CloseBodyStream()
+	defer a.Close() // before CloseBodyStream, which otherwise reads the rest of the body
 	out := &Response{Status: resp.StatusCode()}
 	refused := false
 	for name, value := range resp.Header.All() {
