Resume streams that fall silent and gather long prompts by prefill

A partition breaks no connection, so an answer that falls silent after its first text would wait until its deadline. IDs of freed work are forgotten without reports as well.

--- a/engine/chooser.go
+++ b/engine/chooser.go
@@ -178,7 +178,8 @@
 	return hi ^ lo
 }
 
-// forLong returns the first endpoints of the model's order that have room, and then the first ones that have none.
+// forLong returns the first endpoints of the model's order that have room and prefill no long prompt, and then the first
+// others.
 func (c *Chooser) forLong(now time.Time, p *plan, r *Completion) []int {
 	var fit, full []int
 	for _, i := range p.long {
@@ -190,7 +191,7 @@
 			continue
 		}
 		s := n.state
-		if !s.known(now) || !s.load.Cold && s.load.FreeTokens >= r.Tokens() && s.load.LongPrompts+s.began == 0 {
+		if !s.known(now) || !s.load.Cold && s.load.FreeTokens >= r.Tokens() && s.load.LongBacklog == 0 && s.load.Queue == 0 {
 			fit = append(fit, i)
 		} else if len(full) < c.count {
 			full = append(full, i)
--- a/engine/chooser_test.go
+++ b/engine/chooser_test.go
@@ -118,7 +118,7 @@
 		t.Error("another prefix gives another order:", diff)
 	}
 	l := idle()
-	l.LongPrompts = 1
+	l.LongBacklog = 50_000
 	c.ObserveLoad(start, order[0], l)
 	if diff := cmp.Diff(order[1:], names(c.Candidates(start, request(1, 50_000), specs))[:2]); diff != "" {
 		t.Error("after a long prompt on the first:", diff)
--- a/engine/client.go
+++ b/engine/client.go
@@ -19,17 +19,19 @@
 
 // Bounds of the client.
 const (
-	resumeTries   = 4                      // connections without progress after which a stream is given up
-	resumePause   = 50 * time.Millisecond  // before the second try, doubled for each further one; engines keep a stream for 2 s
-	cancelTimeout = 500 * time.Millisecond // for the cancellation of a stream after its context has ended
-	callTimeout   = 2 * time.Second        // for calls other than streams, where the context has no earlier deadline
-	maxAnswer     = 8 << 20                // bytes of any answer but a stream
+	resumeTries   = 4                       // connections without progress after which a stream is given up
+	resumePause   = 50 * time.Millisecond   // before the second try, doubled for each further one; engines keep a stream for 2 s
+	cancelTimeout = 500 * time.Millisecond  // for the cancellation of a stream after its context has ended
+	callTimeout   = 2 * time.Second         // for calls other than streams, where the context has no earlier deadline
+	defaultStall  = 1500 * time.Millisecond // silence after the first text; engines keep a broken stream for 2 s
+	maxAnswer     = 8 << 20                 // bytes of any answer but a stream
 )
 
 // Client speaks to model engines. Each completion is sent at most once; a lost stream is resumed, never started again.
 type Client struct {
 	incarnation uint64
 	now         func() time.Time
+	stall       time.Duration
 	ctx         context.Context // ends with Close
 	stop        context.CancelFunc
 	freeing     sync.WaitGroup
@@ -44,9 +46,12 @@
 // WithClock replaces the clock that grants are checked against.
 func WithClock(now func() time.Time) ClientOption { return func(c *Client) { c.now = now } }
 
+// WithStall sets after how much silence within an answer the connection counts as lost.
+func WithStall(d time.Duration) ClientOption { return func(c *Client) { c.stall = d } }
+
 // NewClient returns a client.
 func NewClient(opts ...ClientOption) *Client {
-	c := &Client{now: time.Now}
+	c := &Client{now: time.Now, stall: defaultStall}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
@@ -161,7 +166,28 @@
 	if stream == nil {
 		return true, errTruncated
 	}
-	return true, asm.read(stream)
+	watch := &watchedReader{r: stream, asm: asm, stall: c.stall, timer: time.AfterFunc(c.stall, a.Close)}
+	watch.timer.Stop()
+	defer watch.timer.Stop()
+	return true, asm.read(watch)
+}
+
+// watchedReader closes the connection of an answer that falls silent, because a partition breaks no connection. Before the
+// first text the prefill may take any time.
+type watchedReader struct {
+	r     io.Reader
+	asm   *assembler
+	stall time.Duration
+	timer *time.Timer
+}
+
+// Read implements io.Reader.
+func (w *watchedReader) Read(b []byte) (int, error) {
+	if w.asm.offset > 0 {
+		w.timer.Reset(w.stall)
+		defer w.timer.Stop()
+	}
+	return w.r.Read(b)
 }
 
 // readAll reads an answer other than a stream. fasthttp has no body stream for an empty body.
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -98,7 +99,7 @@
 
 // Guards against incomplete, repeated or reordered text, and against a second start of a stream that can be resumed.
 func TestStream(t *testing.T) {
-	gone := ""
+	const gone, silent = "", ": no more\n"
 	for _, c := range []struct {
 		name  string
 		conns []string // what each connection sends before it breaks; gone means that the engine lost the stream
@@ -114,6 +115,8 @@
 			[]string{"POST /v1/completions", "GET /v1/streams/g1?offset=2"}},
 		{"resumed after a missing chunk", []string{event(0, "ab") + endMark(4), event(2, "cd") + endMark(4)}, "abcd", "ok",
 			[]string{"POST /v1/completions", "GET /v1/streams/g1?offset=2"}},
+		{"resumed after silence", []string{event(0, "ab") + silent, event(2, "cd") + endMark(4)}, "abcd", "ok",
+			[]string{"POST /v1/completions", "GET /v1/streams/g1?offset=2"}},
 		{"stream gone", []string{event(0, "ab"), gone}, "ab", "mayHaveRun endpointFailed",
 			[]string{"POST /v1/completions", "GET /v1/streams/g1?offset=2", "DELETE /v1/streams/g1"}},
 		{"restarted engine", []string{event(0, "ab"), "data: {\"offset\":2,\"text\":\"cd\",\"instance\":6}\n\n" + endMark(4)}, "ab", "mayHaveRun endpointFailed",
@@ -128,6 +131,7 @@
 					io.WriteString(w, `{"known":true}`)
 					return
 				}
+				io.Copy(io.Discard, r.Body) // the server notices a closed connection only after the body
 				part := c.conns[conn]
 				conn++
 				if part == gone {
@@ -137,10 +141,13 @@
 				}
 				io.WriteString(w, part)
 				w.(http.Flusher).Flush()
+				if strings.HasSuffix(part, silent) {
+					<-r.Context().Done()
+				}
 				panic(http.ErrAbortHandler)
 			})
 			var a answer
-			err := newClient(t).Stream(t.Context(), p.spec(), completion(), grant("g1"), 1, &a)
+			err := newClient(t, engine.WithStall(50*time.Millisecond)).Stream(t.Context(), p.spec(), completion(), grant("g1"), 1, &a)
 			if diff := cmp.Diff([]string{c.want, c.text, fmt.Sprint(c.want == "ok")}, []string{verdict(err), a.text, fmt.Sprint(a.end)}); diff != "" {
 				t.Error(diff)
 			}
--- a/engine/ledger.go
+++ b/engine/ledger.go
@@ -142,7 +142,7 @@
 // Ask decides on a demand. A repeated demand gets the same grant again; the ID of freed work gets none.
 func (l *Ledger) Ask(now time.Time, d Demand) Decision {
 	l.now = now
-	l.expireDraining()
+	l.expire()
 	if r, ok := l.held[d.ID]; ok {
 		return l.granted(r)
 	}
@@ -413,14 +413,19 @@
 	delete(l.foreign, id)
 }
 
-// expireDraining frees failed work that the endpoint has cancelled by itself. Without it, an endpoint whose reports are
-// missing would lose the memory.
-func (l *Ledger) expireDraining() {
+// expire frees failed work that the endpoint has cancelled by itself, without which an endpoint whose reports are missing
+// would lose the memory, and forgets IDs that no message or report can name any more.
+func (l *Ledger) expire() {
 	for id, d := range l.draining {
 		if l.now.Sub(d.since) >= drainFor {
 			delete(l.draining, id)
 		}
 	}
+	for id, at := range l.ended {
+		if l.now.Sub(at) >= endedFor {
+			delete(l.ended, id)
+		}
+	}
 }
 
 // Load returns a summary for endpoint selection.
--- a/engine/main_test.go
+++ b/engine/main_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
+
+	"go.uber.org/goleak"
 )
 
 // TestMain fixes the seed of the random tests, so that every run returns the same verdict. -rapid.seed overrides it.
+// Guards against goroutines that outlive their client.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
@@ -14,5 +16,5 @@
 			panic(err)
 		}
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
--- a/engine/observe.go
+++ b/engine/observe.go
@@ -32,11 +32,7 @@
 	}
 	l.matchStreams(r, sampled, restarted)
 	l.correctPrefill(r.PrefillBacklog, sampled, previous)
-	for id, at := range l.ended {
-		if now.Sub(at) >= endedFor {
-			delete(l.ended, id)
-		}
-	}
+	l.expire()
 }
 
 // smaller returns the smaller of a configured and a reported bound. A bound of 0 is not stated.
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -121,7 +121,7 @@
 	l.now = now
 	out := l.pending
 	l.pending = nil
-	l.expireDraining()
+	l.expire()
 	out = l.leave(out)
 	var blocked [numLanes]bool
 	for {
