--- a/service/client.go
+++ b/service/client.go
@@ -54,7 +54,8 @@
 		return nil, failure(ctx, sent, err)
 	}
 	defer resp.CloseBodyStream()
-	defer a.Close() // before CloseBodyStream, which otherwise reads the rest of the body
+	defer a.Close()                           // before CloseBodyStream, which otherwise reads the rest of the body
+	resp.Header.SetNoDefaultContentType(true) // fasthttp otherwise adds a field that the instance did not send
 	out := &Response{Status: resp.StatusCode()}
 	refused := false
 	for name, value := range resp.Header.All() {
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -106,10 +106,13 @@
 	} {
 		for _, method := range []string{"POST", "GET", "PUT"} {
 			address, count := listen(t, c.answer)
-			_, err := service.NewClient(service.WithMaxResponse(10)).Do(t.Context(), service.Spec{Name: "b1", Address: address}, &service.Request{Method: method, Path: "/x", Body: []byte("b")})
+			resp, err := service.NewClient(service.WithMaxResponse(10)).Do(t.Context(), service.Spec{Name: "b1", Address: address}, &service.Request{Method: method, Path: "/x", Body: []byte("b")})
 			if got := outcome(err); got != c.want {
 				t.Errorf("%s, %s: %s, want %s", c.name, method, got, c.want)
 			}
+			if resp != nil && len(resp.Headers) > 0 && c.name == "503 without the header" {
+				t.Errorf("%s, %s: headers that were not sent: %v", c.name, method, resp.Headers)
+			}
 			if n := count(); n != 1 {
 				t.Errorf("%s, %s: sent %d times", c.name, method, n)
 			}
