--- a/engine/client.go
+++ b/engine/client.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -105,8 +106,8 @@
 		path := fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(g.ID), asm.offset)
 		_, err = c.connect(ctx, s, fasthttp.MethodGet, path, nil, nil, asm)
 		try++
-		if asm.offset > before {
-			try = 0
+		if asm.offset > before || err == errSilent {
+			try = 0 // a slow engine that still has the stream is waited for until the deadline
 		}
 	}
 	if err == nil {
@@ -166,12 +167,21 @@
 	if stream == nil {
 		return true, errTruncated
 	}
-	watch := &watchedReader{r: stream, asm: asm, stall: c.stall, timer: time.AfterFunc(c.stall, a.Close)}
+	var silent atomic.Bool
+	watch := &watchedReader{r: stream, asm: asm, stall: c.stall, timer: time.AfterFunc(c.stall, func() {
+		silent.Store(true)
+		a.Close()
+	})}
 	watch.timer.Stop()
-	defer watch.timer.Stop()
-	return true, asm.read(watch)
+	if err = asm.read(watch); err != nil && asm.sinkErr == nil && silent.Load() {
+		err = errSilent
+	}
+	return true, err
 }
 
+// errSilent means that the connection was closed because the engine sent nothing on it.
+var errSilent = errors.New("stream fell silent")
+
 // watchedReader closes the connection of an answer that falls silent, because a partition breaks no connection. Before the
 // first text the prefill may take any time.
 type watchedReader struct {
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -117,6 +118,8 @@
 			[]string{"POST /v1/completions", "GET /v1/streams/g1?offset=2"}},
 		{"resumed after silence", []string{event(0, "ab") + silent, event(2, "cd") + endMark(4)}, "abcd", "ok",
 			[]string{"POST /v1/completions", "GET /v1/streams/g1?offset=2"}},
+		{"slow engine", []string{event(0, "a") + silent, silent, silent, silent, silent, silent, event(1, "b") + endMark(2)}, "ab", "ok",
+			append([]string{"POST /v1/completions"}, slices.Repeat([]string{"GET /v1/streams/g1?offset=1"}, 6)...)},
 		{"stream gone", []string{event(0, "ab"), gone}, "ab", "mayHaveRun endpointFailed",
 			[]string{"POST /v1/completions", "GET /v1/streams/g1?offset=2", "DELETE /v1/streams/g1"}},
 		{"restarted engine", []string{event(0, "ab"), "data: {\"offset\":2,\"text\":\"cd\",\"instance\":6}\n\n" + endMark(4)}, "ab", "mayHaveRun endpointFailed",
