--- a/engine/client.go
+++ b/engine/client.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/url"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,17 +20,22 @@
 
 // Bounds of the client.
 const (
-	resumeTries   = 4                      // connections without progress after which a stream is given up
-	resumePause   = 50 * time.Millisecond  // before the second try, doubled for each further one; engines keep a stream for 2 s
-	cancelTimeout = 500 * time.Millisecond // for the cancellation of a stream after its context has ended
-	callTimeout   = 2 * time.Second        // for calls other than streams, where the context has no earlier deadline
-	maxAnswer     = 8 << 20                // bytes of any answer but a stream
+	resumeTries   = 4                       // connections without progress after which a stream is given up
+	resumePause   = 50 * time.Millisecond   // before the second try, doubled for each further one; engines keep a stream for 2 s
+	cancelTimeout = 500 * time.Millisecond  // for the cancellation of a stream after its context has ended
+	callTimeout   = 2 * time.Second         // for calls other than streams, where the context has no earlier deadline
+	defaultStall  = 1500 * time.Millisecond // silence after the first text; engines keep a broken stream for 2 s
+	maxAnswer     = 8 << 20                 // bytes of any answer but a stream
 )
 
 // Client speaks to model engines. Each completion is sent at most once; a lost stream is resumed, never started again.
 type Client struct {
 	incarnation uint64
 	now         func() time.Time
+	stall       time.Duration
+	ctx         context.Context // ends with Close
+	stop        context.CancelFunc
+	freeing     sync.WaitGroup
 }
 
 // ClientOption sets an optional property of a Client.
@@ -40,9 +47,13 @@
 // WithClock replaces the clock that grants are checked against.
 func WithClock(now func() time.Time) ClientOption { return func(c *Client) { c.now = now } }
 
+// WithStall sets after how much silence within an answer the connection counts as lost.
+func WithStall(d time.Duration) ClientOption { return func(c *Client) { c.stall = d } }
+
 // NewClient returns a client.
 func NewClient(opts ...ClientOption) *Client {
-	c := &Client{now: time.Now}
+	c := &Client{now: time.Now, stall: defaultStall}
+	c.ctx, c.stop = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -70,7 +81,7 @@
 	return c.stream(ctx, s, r, g, attempt, 0, sink)
 }
 
-// stream is Stream with groupTokens of the grant's memory held by further members of s's group.
+// stream is Stream with groupTokens held for r by further members of the group of s, besides the grant.
 func (c *Client) stream(ctx context.Context, s Spec, r *Completion, g Grant, number, groupTokens int, sink Sink) error {
 	if !r.Deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -80,14 +91,14 @@
 	body, err := json.Marshal(wireCompletion{
 		Model: r.Model, Prompt: string(r.Prompt), MaxTokens: r.MaxTokens, Stream: true, RequestID: g.ID,
 		Priority: enginePriority(r), Holder: g.Holder, Incarnation: c.incarnation,
-		ReservedTokens: g.Demand.Tokens() - groupTokens, GroupTokens: groupTokens,
+		ReservedTokens: g.Demand.Tokens(), GroupTokens: groupTokens,
 	})
 	if err != nil {
 		return customer.Refuse(customer.ReasonInternal, err.Error())
 	}
 	asm := &assembler{attempt: number, sink: sink}
 	started, err := c.connect(ctx, s, fasthttp.MethodPost, "/v1/completions", body, func() error { return c.valid(g) }, asm)
-	for try := 0; err != nil && started && resumable(err) && ctx.Err() == nil && try < resumeTries; {
+	for try := 0; err != nil && started && asm.sinkErr == nil && resumable(err) && ctx.Err() == nil && try < resumeTries; {
 		if try > 0 && !sleep(ctx, resumePause<<(try-1)) {
 			break
 		}
@@ -95,8 +106,8 @@
 		path := fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(g.ID), asm.offset)
 		_, err = c.connect(ctx, s, fasthttp.MethodGet, path, nil, nil, asm)
 		try++
-		if asm.offset > before {
-			try = 0
+		if asm.offset > before || err == errSilent {
+			try = 0 // a slow engine that still has the stream is waited for until the deadline
 		}
 	}
 	if err == nil {
@@ -106,7 +117,7 @@
 		return c.refusal(ctx, err, false)
 	}
 	if !asm.done {
-		c.cancelAfter(ctx, s, g.ID)
+		_ = c.cancelAfter(ctx, s, g.ID) // the engine itself cancels a stream that nobody reads
 	}
 	if asm.sinkErr != nil {
 		var refusal *customer.Refusal
@@ -145,8 +156,8 @@
 	if err != nil {
 		return sent, err
 	}
-	defer a.Close()
 	defer resp.CloseBodyStream()
+	defer a.Close() // before CloseBodyStream, which otherwise reads the rest of the body
 	stream := resp.BodyStream()
 	if resp.StatusCode() != fasthttp.StatusOK {
 		data, _ := readAll(stream) // a damaged body states no verdict
@@ -156,7 +167,37 @@
 	if stream == nil {
 		return true, errTruncated
 	}
-	return true, asm.read(stream)
+	var silent atomic.Bool
+	watch := &watchedReader{r: stream, asm: asm, stall: c.stall, timer: time.AfterFunc(c.stall, func() {
+		silent.Store(true)
+		a.Close()
+	})}
+	watch.timer.Stop()
+	if err = asm.read(watch); err != nil && asm.sinkErr == nil && silent.Load() {
+		err = errSilent
+	}
+	return true, err
+}
+
+// errSilent means that the connection was closed because the engine sent nothing on it.
+var errSilent = errors.New("stream fell silent")
+
+// watchedReader closes the connection of an answer that falls silent, because a partition breaks no connection. Before the
+// first text the prefill may take any time.
+type watchedReader struct {
+	r     io.Reader
+	asm   *assembler
+	stall time.Duration
+	timer *time.Timer
+}
+
+// Read implements io.Reader.
+func (w *watchedReader) Read(b []byte) (int, error) {
+	if w.asm.offset > 0 {
+		w.timer.Reset(w.stall)
+		defer w.timer.Stop()
+	}
+	return w.r.Read(b)
 }
 
 // readAll reads an answer other than a stream. fasthttp has no body stream for an empty body.
@@ -233,7 +274,6 @@
 		if !ran || refusal.Verdict() == customer.MayHaveRun {
 			return refusal
 		}
-		reason = refusal.Reason()
 	}
 	if ran {
 		return customer.Fail(reason, err.Error())
@@ -241,12 +281,11 @@
 	return customer.Refuse(reason, err.Error())
 }
 
-// cancelAfter cancels a stream when its own context may have ended. A failure is harmless: the engine cancels a stream
-// that nobody reads by itself.
-func (c *Client) cancelAfter(ctx context.Context, s Spec, id string) {
+// cancelAfter cancels a stream or reservation when the request's own context may have ended.
+func (c *Client) cancelAfter(ctx context.Context, s Spec, id string) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer cancel()
-	_ = c.Cancel(ctx, s, id)
+	return c.Cancel(ctx, s, id)
 }
 
 // call makes a request with a JSON answer. The error is a *customer.Refusal.
@@ -268,8 +307,8 @@
 	if err != nil {
 		return c.refusal(ctx, err, sent)
 	}
-	defer a.Close()
 	defer resp.CloseBodyStream()
+	defer a.Close() // before CloseBodyStream, which otherwise reads the rest of the body
 	data, err := readAll(resp.BodyStream())
 	if err != nil {
 		return c.refusal(ctx, err, true)
