--- a/entry/lease_test.go
+++ b/entry/lease_test.go
@@ -344,3 +344,46 @@
 		}
 	}
 }
+
+// Guards against an answer that is used although a newer one was confirmed or the lease was given back: the lender no longer
+// counts it.
+func TestBorrowerIgnoresLateAnswers(t *testing.T) {
+	now := time.Unix(0, 0)
+	l, err := NewLender[string](PartTimers(), now, FirstStart())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.SetTotal(now, "r", 100, 0)
+	b, err := NewBorrower[string](PartTimers())
+	if err != nil {
+		t.Fatal(err)
+	}
+	me, other := BorrowerID{"a", 1}, BorrowerID{"b", 1}
+	lend := func(want int) Loan[string] {
+		loan, ok := l.Lend(now, me, b.Ask(now, "r", want))
+		if !ok {
+			t.Fatalf("not lent %d", want)
+		}
+		return loan
+	}
+	late := lend(100)
+	b.Lent(now, lend(40))
+	if got := l.LentTo(now, "r", me); got != 100 {
+		t.Errorf("the lender counts %d units before the smaller answer is confirmed, want 100", got)
+	}
+	b.Lent(now, lend(40))
+	if loan, ok := l.Lend(now, other, Ask[string]{Key: "r", Sequence: 1, Want: 100}); !ok || loan.Units != 60 {
+		t.Errorf("the other borrower gets %d units after the confirmation, want 60", loan.Units)
+	}
+	b.Lent(now, late)
+	if got := b.Held(now, "r"); got != 40 {
+		t.Errorf("%d units after a late answer, want 40", got)
+	}
+	late = lend(40)
+	sequence, _ := b.Release("r")
+	l.Return(now, me, "r", sequence)
+	b.Lent(now, late)
+	if got := b.Held(now, "r"); got != 0 || l.LentTo(now, "r", me) != 0 {
+		t.Errorf("%d units after a return and a late answer", got)
+	}
+}
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -375,10 +375,62 @@
 	for i, s := range syncers {
 		f.start(i, nil, WithSyncer(s))
 	}
+	time.Sleep(5 * time.Second)
 	syncers[1].set(7)
+	begin := time.Now()
 	for i, s := range syncers {
 		eventually(t, fmt.Sprintf("VM %d has the change", i), func() bool { return s.Version() == 7 })
 	}
+	if took := time.Since(begin); took > 2*time.Second { // the bubble's clock; the target of section 5.1
+		t.Errorf("the change spread in %v", took)
+	}
+}
+
+// Guards against control traffic above the 18 KB/s for each VM of section 2.1, and against traffic that rises with the number of
+// VMs in the data centre.
+func TestControlTraffic(t *testing.T) { bubble(t, testControlTraffic) }
+
+func testControlTraffic(t *testing.T) {
+	const seconds = 20
+	for _, size := range []int{3, 12} {
+		var names, endpoints []string
+		for i := range size {
+			names = append(names, fmt.Sprintf("jm-a/%d", i))
+			for j := range 5 {
+				endpoints = append(endpoints, fmt.Sprintf("e%d-%d", i, j))
+			}
+		}
+		f := newFleet(t, append(names, "jm-b/1")...)
+		var registries []metrics.Registry
+		for i := range f.places {
+			r := metrics.NewRegistry()
+			registries = append(registries, r)
+			f.start(i, testSpecs("jm-a", endpoints...), WithEndpoints(&fakeEndpoint{}), WithFirstStart(), WithSyncer(&fakeSyncer{}), WithMetrics(r))
+		}
+		time.Sleep(10 * time.Second)
+		before := make([]int64, size)
+		traffic := func(i int) (sum int64) {
+			for _, direction := range []string{"in", "out"} {
+				sum += metrics.GetOrRegisterCounter("entry.control."+direction+".bytes", registries[i]).Count()
+			}
+			return sum
+		}
+		for i := range size {
+			before[i] = traffic(i)
+		}
+		time.Sleep(seconds * time.Second)
+		var most int64
+		for i := range size {
+			most = max(most, (traffic(i)-before[i])/seconds)
+		}
+		t.Logf("%d VMs, %d endpoints: at most %d bytes/s for a VM", size, len(endpoints), most)
+		if most > 18_000 {
+			t.Errorf("%d VMs: %d bytes/s for a VM", size, most)
+		}
+		for _, n := range f.nodes {
+			n.Close()
+		}
+	}
 }
 
 // Guards against grants of a VM that does not own the endpoint, a cancelled wait that keeps its grant, and grants that are
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -160,8 +160,13 @@
 					w.drain(from)
 					for v := range w.vms {
 						w.ask(v, i, units.Draw(t, "demand"))
+						w.mail[from]()
+						w.mail = slices.Delete(w.mail, from, from+1)
+						if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+							w.mail = w.mail[:from] // a VM that is to shrink does not hear of it
+						}
+						w.drain(from)
 					}
-					w.drain(from)
 					if n := w.inUse(); n > quotaTotal {
 						t.Fatalf("VMs use %d units of %d", n, quotaTotal)
 					} else if n > 9*quotaTotal/10 {
