Bound the memory that parsing a body takes

A list of small values takes about thirty times its text once it is decoded, which the bound on request bodies did not count. The need is now computed from the body's structure before it is decoded.

--- a/caller/generate.go
+++ b/caller/generate.go
@@ -47,8 +47,8 @@
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	if !h.resize(parseFactor * len(body)) {
-		return nil, nil, x.noMemory(parseFactor * len(body))
+	if need := parseBytes(body); !h.resize(need) {
+		return nil, nil, x.noMemory(need)
 	}
 	g, err := parseGeneration(body, chat, x.server.maxTokens)
 	if err != nil {
