Check the limiter over every interval and stop what Shutdown leaves

The model of the limiter now checks rate x time + burst for every interval and moves whole parts between VMs, and the stop test reads the reason of the last event.

--- a/caller/conn_test.go
+++ b/caller/conn_test.go
@@ -108,7 +108,8 @@
 			if tc.tls {
 				serveOn(t, tls.NewListener(ln, serverTLS(t)), r)
 			} else {
-				serveOn(t, ln, r)
+				// Without timeouts of the server nothing but the watch sets a read deadline.
+				serveOn(t, ln, r, caller.WithReadTimeout(0), caller.WithIdleTimeout(0))
 			}
 			conn := dial(t, ln)
 			if tc.tls {
@@ -137,29 +138,35 @@
 	}
 }
 
-// A request that waits longer than the read timeout was taken for one whose caller had gone.
-func TestWaitBeyondReadTimeout(t *testing.T) {
+// A request that waits longer than the read timeout was taken for one whose caller had gone, and a stream that lasts longer
+// than the write timeout was cut.
+func TestWaitBeyondTimeouts(t *testing.T) {
 	const timeout = 30 * time.Millisecond
 	r := newRouter(t)
 	r.complete = func(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
+		if err := sink.Chunk(engine.Chunk{Attempt: 1, Text: "x"}); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(3 * timeout):
-			return chunks(nil, "x")(ctx, c, sink)
+			return chunks(nil, "xy")(ctx, c, sink)
 		}
 	}
 	ln := listen(t)
-	serveOn(t, ln, r, caller.WithReadTimeout(timeout))
+	serveOn(t, ln, r, caller.WithReadTimeout(timeout), caller.WithWriteTimeout(timeout), caller.WithIdleTimeout(time.Minute))
 	conn := dial(t, ln)
 	reader := bufio.NewReader(conn)
-	for range 2 {
-		io.WriteString(conn, post("/v1/completions", `{"model":"small","prompt":"x"}`))
+	for _, stream := range []bool{false, true} {
+		io.WriteString(conn, post("/v1/completions", fmt.Sprintf(`{"model":"small","prompt":"x","stream":%v}`, stream)))
 		resp, err := http.ReadResponse(reader, nil)
 		if err != nil || resp.StatusCode != 200 {
 			t.Fatalf("%+v, %v", resp, err)
 		}
-		io.Copy(io.Discard, resp.Body)
+		if body, err := io.ReadAll(resp.Body); err != nil || strings.Contains(string(body), "[DONE]") != stream {
+			t.Errorf("stream %v: %q, %v", stream, body, err)
+		}
 	}
 }
 
@@ -227,7 +234,7 @@
 			}
 			body, err := io.ReadAll(resp.Body)
 			last := events(string(body))
-			if got := last[len(last)-1]; err != nil || (got == "|[DONE]") != wait || strings.HasPrefix(got, "error|") == wait {
+			if got := last[len(last)-1]; err != nil || (got == "|[DONE]") != wait || strings.Contains(got, `"reason":"notReady"`) == wait {
 				t.Errorf("last event %q, %v", got, err)
 			}
 			if err := <-stopped; (err == nil) != wait {
--- a/customer/customer_test.go
+++ b/customer/customer_test.go
@@ -206,61 +206,82 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := parse(t, "20000", "10000", "= 8", "= 4")
 		limits := c.Limits()
-		vms := []*customer.Limiter{customer.NewLimiter(), customer.NewLimiter(), customer.NewLimiter()}
+		vms := []*customer.Limiter{customer.NewLimiter(), customer.NewLimiter()}
 		lent := make([]int, len(vms))
 		until := make([]time.Time, len(vms))
 		concurrent := make([]int, len(vms))
-		var running [3][]*customer.Admission
+		var running [2][]*customer.Admission
 		now, charged := epoch, 0
+		// Tokens above the rate since the start, and their lowest value so far: the difference is the use of the burst in the
+		// time since then, so all intervals are checked and not only the whole time.
+		above := func() float64 { return float64(charged) - float64(limits.TokensPerSecond())*now.Sub(epoch).Seconds() }
+		lowest := 0.0
+		// lease lends as a lender has to: shares and places that no other VM can use, and no place of a running request.
+		lease := func(vm, most int) {
+			free, places := shares, limits.Concurrent()
+			for i := range vms {
+				if i == vm {
+					continue
+				}
+				places -= len(running[i])
+				if now.Before(until[i]) {
+					free -= lent[i]
+					places -= max(0, concurrent[i]-len(running[i]))
+				}
+			}
+			lent[vm], until[vm] = min(most, free), now.Add(4*time.Second)
+			part := limits.Part(lent[vm], shares, until[vm])
+			part.Concurrent = max(0, min(part.Concurrent, places))
+			concurrent[vm] = part.Concurrent
+			vms[vm].SetPart(now, c.Name(), part)
+		}
+		anyVM := rapid.IntRange(0, len(vms)-1)
+		end := func(t *rapid.T, vm int) {
+			a := running[vm][0]
+			running[vm] = running[vm][1:]
+			used := rapid.IntRange(0, a.Charged()).Draw(t, "used")
+			charged -= a.Charged() - used
+			a.End(now, used)
+			a.End(now, 0) // must not refund again
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
-			},
-			"lease": func(t *rapid.T) {
-				vm := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
-				free := shares
-				for i := range vms {
-					if i != vm && now.Before(until[i]) {
-						free -= lent[i]
-					}
-				}
-				lent[vm], until[vm] = rapid.IntRange(0, free).Draw(t, "shares"), now.Add(4*time.Second)
-				part := limits.Part(lent[vm], shares, until[vm])
-				// As a lender has to, the model lends no place in which a request of an expired part runs on.
-				places := limits.Concurrent()
-				for i := range vms {
-					if i != vm {
-						places -= max(len(running[i]), concurrent[i])
+				now = now.Add(time.Duration(rapid.IntRange(1, 3900).Draw(t, "ms")) * time.Millisecond)
+				for vm := range vms {
+					if now.Before(until[vm]) && rapid.IntRange(0, 3).Draw(t, "renew") > 0 {
+						lease(vm, lent[vm])
 					}
 				}
-				part.Concurrent = max(0, min(part.Concurrent, places))
-				concurrent[vm] = part.Concurrent
-				vms[vm].SetPart(now, c.Name(), part)
+			},
+			"lease": func(t *rapid.T) {
+				lease(anyVM.Draw(t, "vm"), rapid.SampledFrom([]int{shares, shares, 2, 1, 0}).Draw(t, "shares"))
+			},
+			"move": func(t *rapid.T) {
+				vm := anyVM.Draw(t, "vm")
+				lease(vm, 0)
+				lease((vm+1)%len(vms), shares)
 			},
 			"admit": func(t *rapid.T) {
-				vm := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
-				if a, r := vms[vm].Admit(now, c, rapid.IntRange(1, 4000).Draw(t, "prompt"), rapid.IntRange(0, 1000).Draw(t, "limit")); r == nil {
-					charged += a.Charged()
-					running[vm] = append(running[vm], a)
+				vm := anyVM.Draw(t, "vm")
+				for range rapid.IntRange(1, 5).Draw(t, "requests") {
+					if a, r := vms[vm].Admit(now, c, rapid.IntRange(1, 9000).Draw(t, "prompt"), 100); r == nil {
+						charged += a.Charged()
+						running[vm] = append(running[vm], a)
+					}
 				}
 			},
 			"end": func(t *rapid.T) {
-				vm := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
-				if len(running[vm]) == 0 {
-					t.Skip()
+				vm := anyVM.Draw(t, "vm")
+				for range min(len(running[vm]), rapid.IntRange(1, 4).Draw(t, "requests")) {
+					end(t, vm)
 				}
-				a := running[vm][0]
-				running[vm] = running[vm][1:]
-				used := rapid.IntRange(0, a.Charged()).Draw(t, "used")
-				charged -= a.Charged() - used
-				a.End(now, used)
-				a.End(now, 0) // must not refund again
 			},
 			"": func(t *rapid.T) {
-				if bound := float64(limits.TokensPerSecond())*now.Sub(epoch).Seconds() + float64(limits.Burst()); float64(charged) > bound {
-					t.Fatalf("%d tokens after %v, bound %.0f", charged, now.Sub(epoch), bound)
+				lowest = min(lowest, above())
+				if used := above() - lowest; used > float64(limits.Burst())+1e-6 {
+					t.Fatalf("%.0f tokens above the rate in an interval that ends after %v, burst %d", used, now.Sub(epoch), limits.Burst())
 				}
-				if n := len(running[0]) + len(running[1]) + len(running[2]); n > limits.Concurrent() {
+				if n := len(running[0]) + len(running[1]); n > limits.Concurrent() {
 					t.Fatalf("%d requests run, the contract has %d", n, limits.Concurrent())
 				}
 			},
@@ -268,6 +289,19 @@
 	})
 }
 
+// Tokens that outlive their part are used twice, because its lender gives them to another VM after the expiry.
+func TestExpiredPartLosesItsTokens(t *testing.T) {
+	c := parse(t)
+	l := customer.NewLimiter()
+	part := c.Limits().Part(1, 1, epoch.Add(time.Second))
+	part.Tokens = part.Burst
+	l.SetPart(epoch, c.Name(), part)
+	l.SetPart(epoch.Add(time.Second), c.Name(), c.Limits().Part(1, 1, epoch.Add(time.Hour)))
+	if _, r := l.Admit(epoch.Add(time.Second), c, 1, 0); r == nil {
+		t.Error("a token of the expired part was used")
+	}
+}
+
 // A use above the estimate that is not charged lets a customer exceed its rate by sending text that is estimated too low.
 func TestLimiterCorrection(t *testing.T) {
 	for name, tc := range map[string]struct {
