Read the body of every refused request

A request that was refused before its body was read, by an unknown path or method, had its connection reset when the body was chunked, so the next request on it got no answer. The rest of the body is now read in one place, within the body limit, and the connection stays open where that was all.

--- a/caller/body.go
+++ b/caller/body.go
@@ -45,13 +45,12 @@
 
 func (h *hold) release() { h.resize(0) }
 
-// readBody reads the request's body into memory of its own, which fasthttp does not use again. On a refusal the connection
-// is closed after the answer where the body was not read to its end.
+// readBody reads the request's body into memory of its own, which fasthttp does not use again.
 func (x *exchange) readBody(h *hold) ([]byte, *customer.Refusal) {
 	limit := x.server.bodyLimit
 	declared := x.ctx.Request.Header.ContentLength()
 	if declared > limit {
-		return nil, x.dropBody(x.tooLarge())
+		return nil, x.tooLarge()
 	}
 	stream := x.ctx.RequestBodyStream()
 	if stream == nil {
@@ -75,7 +74,7 @@
 			size := min(max(bodyStep, 2*cap(body)), most)
 			// The old and the new buffer exist together while the bytes are copied.
 			if !h.resize(cap(body) + size) {
-				return nil, x.dropBody(x.noMemory(cap(body) + size))
+				return nil, x.noMemory(cap(body) + size)
 			}
 			grown := make([]byte, len(body), size)
 			copy(grown, body)
@@ -83,16 +82,19 @@
 			h.resize(size)
 		}
 		if len(body) == most && declared >= 0 {
+			x.bodyEnded = true
 			return body, nil
 		}
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case len(body) > limit:
-			return nil, x.dropBody(x.tooLarge())
+			return nil, x.tooLarge()
 		case err == io.EOF && (declared < 0 || len(body) == declared):
+			x.bodyEnded = true
 			return body, nil
 		case err != nil:
+			x.bodyEnded = true
 			x.ctx.SetConnectionClose()
 			return nil, customer.Refuse(customer.ReasonBadRequest, fmt.Sprintf("the body ended after %d bytes", len(body)))
 		}
@@ -113,12 +115,14 @@
 		customer.RetryAfter(memoryRetryAfter))
 }
 
-// dropBody reads a bounded rest of the body, because a connection that is closed with unread bytes is reset and the caller
-// may lose the answer.
-func (x *exchange) dropBody(r *customer.Refusal) *customer.Refusal {
-	x.ctx.SetConnectionClose()
-	if stream := x.ctx.RequestBodyStream(); stream != nil {
-		io.CopyN(io.Discard, stream, int64(x.server.bodyLimit))
+// dropBody reads a bounded rest of a body that the handler has not read to its end, because a connection that is closed with
+// unread bytes is reset and the caller may lose the answer. The connection stays open where that was all.
+func (x *exchange) dropBody() {
+	stream := x.ctx.RequestBodyStream()
+	if stream == nil || x.bodyEnded {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, stream, int64(x.server.bodyLimit)); err != io.EOF {
+		x.ctx.SetConnectionClose()
 	}
-	return r
 }
--- a/caller/conn_test.go
+++ b/caller/conn_test.go
@@ -80,29 +80,28 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(t)
 			started, ended := make(chan struct{}), make(chan error, 1)
+			second := false
 			answer := func(ctx context.Context) error {
+				if !second {
+					second = true
+					return nil
+				}
 				close(started)
 				<-ctx.Done()
 				ended <- context.Cause(ctx)
 				return ctx.Err()
 			}
-			second := false
-			r.complete = func(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
-				if !second {
-					second = true
-					return chunks(nil, "x")(ctx, c, sink)
-				}
+			r.complete = func(ctx context.Context, _ *engine.Completion, sink engine.Sink) error {
 				if err := sink.Chunk(engine.Chunk{Text: "x"}); err != nil {
 					return err
 				}
-				return answer(ctx)
+				if err := answer(ctx); err != nil {
+					return err
+				}
+				return sink.Chunk(engine.Chunk{Offset: 1, End: true})
 			}
 			r.call = func(ctx context.Context, _ *service.Request) (*service.Response, error) {
-				if !second {
-					second = true
-					return &service.Response{Status: 200, Body: []byte("x")}, nil
-				}
-				return nil, answer(ctx)
+				return &service.Response{Status: 200}, answer(ctx)
 			}
 			ln := listen(t)
 			if tc.tls {
@@ -170,6 +169,34 @@
 	}
 }
 
+// A refused request whose chunked body was not read had its connection reset, and the next request on it got no answer.
+func TestRefusedWithBody(t *testing.T) {
+	big := strings.Repeat("x", 1<<20)
+	for _, path := range []string{"/v2", "/v1/models", "/services/other/x", "/v1/completions"} {
+		for name, text := range map[string]string{
+			"length": post(path, big),
+			"chunked": strings.Replace(post(path, ""), "Content-Length: 0", "Transfer-Encoding: chunked", 1) +
+				fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(big), big),
+		} {
+			ln := listen(t)
+			serveOn(t, ln, newRouter(t))
+			conn := dial(t, ln)
+			reader := bufio.NewReader(conn)
+			go io.WriteString(conn, text+text)
+			for i := range 2 {
+				resp, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Errorf("%s %s: answer %d: %v", path, name, i, err)
+					break
+				}
+				if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode < 400 || resp.StatusCode >= 500 {
+					t.Errorf("%s %s: answer %d: %d %s %v", path, name, i, resp.StatusCode, body, err)
+				}
+			}
+		}
+	}
+}
+
 // A caller that keeps its connection and reads nothing held the engine's memory until the contract's deadline.
 func TestSlowReader(t *testing.T) {
 	r := newRouter(t)
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -46,6 +46,8 @@
 	id       string // as the caller sees it
 	uniqueID string // as the engines see it
 	log      log.Interface
+
+	bodyEnded bool // nothing is left to read of the request's body
 }
 
 func (s *Server) newExchange(ctx *fasthttp.RequestCtx) *exchange {
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -21,7 +21,7 @@
 func (x *exchange) generate(chat bool) {
 	contract, refusal := x.contract()
 	if refusal != nil {
-		x.refuse(x.dropBody(refusal))
+		x.refuse(refusal)
 		return
 	}
 	h := &hold{memory: &x.server.memory}
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -28,7 +28,7 @@
 func (x *exchange) callService(rest string) {
 	contract, refusal := x.contract()
 	if refusal != nil {
-		x.refuse(x.dropBody(refusal))
+		x.refuse(refusal)
 		return
 	}
 	h := &hold{memory: &x.server.memory}
@@ -58,17 +58,17 @@
 		name, path = rest[:i], rest[i:]
 	}
 	if !contract.AllowsService(name) {
-		return nil, x.dropBody(customer.Refuse(customer.ReasonUnknownService,
-			fmt.Sprintf("service %q is not allowed; %s", name, contract.Line("services"))))
+		return nil, customer.Refuse(customer.ReasonUnknownService,
+			fmt.Sprintf("service %q is not allowed; %s", name, contract.Line("services")))
 	}
 	strict, refusal := x.strict()
 	if refusal != nil {
-		return nil, x.dropBody(refusal)
+		return nil, refusal
 	}
 	key := x.header(headerIdempotencyKey)
 	if len(key) > maxKeyBytes {
-		return nil, x.dropBody(customer.Refuse(customer.ReasonBadRequest,
-			fmt.Sprintf("header %s is longer than %d bytes", headerIdempotencyKey, maxKeyBytes)))
+		return nil, customer.Refuse(customer.ReasonBadRequest,
+			fmt.Sprintf("header %s is longer than %d bytes", headerIdempotencyKey, maxKeyBytes))
 	}
 	body, refusal := x.readBody(h)
 	if refusal != nil {
--- a/caller/server.go
+++ b/caller/server.go
@@ -161,6 +161,7 @@
 			x.log.WithField("stack", string(debug.Stack())).Errorf("caller: panic in a handler: %v", v)
 			x.refuse(customer.Fail(customer.ReasonInternal, "internal failure"))
 		}
+		x.dropBody()
 	}()
 	if !s.router.Ready() {
 		// Moves callers with open connections to other VMs before the listener closes.
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -537,16 +537,13 @@
 	}
 	registry := metrics.NewRegistry()
 	c := serve(t, r, caller.WithBodyMemory(4*len(body)-1), caller.WithRegistry(registry))
-	ended := make(chan int, 1)
+	ended := make(chan error, 1)
 	go func() {
 		resp, err := c.Do(request(t, "POST", "/v1/completions", body))
-		if err != nil {
-			t.Error(err)
-			ended <- 0
-			return
+		if err == nil {
+			resp.Body.Close()
 		}
-		resp.Body.Close()
-		ended <- resp.StatusCode
+		ended <- err
 	}()
 	<-started
 	resp, answer := do(t, c, request(t, "POST", "/v1/completions", body))
@@ -554,8 +551,8 @@
 		t.Errorf("got %d %v %s", resp.StatusCode, resp.Header, answer)
 	}
 	close(release)
-	if status := <-ended; status != 200 {
-		t.Errorf("the request that ran: %d", status)
+	if err := <-ended; err != nil {
+		t.Error(err)
 	}
 	if held := registry.Get("caller.bodyBytes").(metrics.Gauge).Value(); held != 0 {
 		t.Errorf("%d bytes are held after all requests ended", held)
