--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/rcrowley/go-metrics"
@@ -242,8 +243,9 @@
 			if tc.verdict == 0 {
 				tc.verdict = customer.NotRun
 			}
-			registry := metrics.NewRegistry()
-			resp, body := do(t, serve(t, r, caller.WithRegistry(registry)), request(t, "POST", tc.path, tc.body, tc.headers...))
+			registry, lines := metrics.NewRegistry(), memory.New()
+			c := serve(t, r, caller.WithRegistry(registry), caller.WithLogger(&log.Logger{Handler: lines}))
+			resp, body := do(t, c, request(t, "POST", tc.path, tc.body, tc.headers...))
 			f := decodeFailure(t, body).Error
 			if resp.StatusCode != tc.status || f.Reason != string(tc.reason) || f.Verdict != tc.verdict.String() || !strings.Contains(f.Message, tc.message) {
 				t.Errorf("got %d %s, want %d %s %s with %q", resp.StatusCode, body, tc.status, tc.reason, tc.verdict, tc.message)
@@ -254,6 +256,14 @@
 			if id := resp.Header.Get("X-Request-Id"); id == "" || id != f.RequestID {
 				t.Errorf("X-Request-Id = %q, in the body %q", id, f.RequestID)
 			}
+			if len(lines.Entries) == 0 {
+				t.Error("the refusal is not logged")
+			}
+			for _, line := range lines.Entries {
+				if line.Fields.Get("requestID") != f.RequestID {
+					t.Errorf("log line %q has request ID %v", line.Message, line.Fields.Get("requestID"))
+				}
+			}
 			if n := registry.Get("caller.refused." + string(tc.reason)).(metrics.Counter).Count(); n != 1 {
 				t.Errorf("counter of %s = %d, want 1", tc.reason, n)
 			}
