--- a/caller/conn_test.go
+++ b/caller/conn_test.go
@@ -80,35 +80,35 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(t)
 			started, ended := make(chan struct{}), make(chan error, 1)
+			second := false
 			answer := func(ctx context.Context) error {
+				if !second {
+					second = true
+					return nil
+				}
 				close(started)
 				<-ctx.Done()
 				ended <- context.Cause(ctx)
 				return ctx.Err()
 			}
-			second := false
-			r.complete = func(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
-				if !second {
-					second = true
-					return chunks(nil, "x")(ctx, c, sink)
-				}
+			r.complete = func(ctx context.Context, _ *engine.Completion, sink engine.Sink) error {
 				if err := sink.Chunk(engine.Chunk{Text: "x"}); err != nil {
 					return err
 				}
-				return answer(ctx)
+				if err := answer(ctx); err != nil {
+					return err
+				}
+				return sink.Chunk(engine.Chunk{Offset: 1, End: true})
 			}
 			r.call = func(ctx context.Context, _ *service.Request) (*service.Response, error) {
-				if !second {
-					second = true
-					return &service.Response{Status: 200, Body: []byte("x")}, nil
-				}
-				return nil, answer(ctx)
+				return &service.Response{Status: 200}, answer(ctx)
 			}
 			ln := listen(t)
 			if tc.tls {
 				serveOn(t, tls.NewListener(ln, serverTLS(t)), r)
 			} else {
-				serveOn(t, ln, r)
+				// Without timeouts of the server nothing but the watch sets a read deadline.
+				serveOn(t, ln, r, caller.WithReadTimeout(0), caller.WithIdleTimeout(0))
 			}
 			conn := dial(t, ln)
 			if tc.tls {
@@ -137,29 +137,63 @@
 	}
 }
 
-// A request that waits longer than the read timeout was taken for one whose caller had gone.
-func TestWaitBeyondReadTimeout(t *testing.T) {
+// A request that waits longer than the read timeout was taken for one whose caller had gone, and a stream that lasts longer
+// than the write timeout was cut.
+func TestWaitBeyondTimeouts(t *testing.T) {
 	const timeout = 30 * time.Millisecond
 	r := newRouter(t)
 	r.complete = func(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
+		if err := sink.Chunk(engine.Chunk{Attempt: 1, Text: "x"}); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(3 * timeout):
-			return chunks(nil, "x")(ctx, c, sink)
+			return chunks(nil, "xy")(ctx, c, sink)
 		}
 	}
 	ln := listen(t)
-	serveOn(t, ln, r, caller.WithReadTimeout(timeout))
+	serveOn(t, ln, r, caller.WithReadTimeout(timeout), caller.WithWriteTimeout(timeout), caller.WithIdleTimeout(time.Minute))
 	conn := dial(t, ln)
 	reader := bufio.NewReader(conn)
-	for range 2 {
-		io.WriteString(conn, post("/v1/completions", `{"model":"small","prompt":"x"}`))
+	for _, stream := range []bool{false, true} {
+		io.WriteString(conn, post("/v1/completions", fmt.Sprintf(`{"model":"small","prompt":"x","stream":%v}`, stream)))
 		resp, err := http.ReadResponse(reader, nil)
 		if err != nil || resp.StatusCode != 200 {
 			t.Fatalf("%+v, %v", resp, err)
 		}
-		io.Copy(io.Discard, resp.Body)
+		if body, err := io.ReadAll(resp.Body); err != nil || strings.Contains(string(body), "[DONE]") != stream {
+			t.Errorf("stream %v: %q, %v", stream, body, err)
+		}
+	}
+}
+
+// A refused request whose chunked body was not read had its connection reset, and the next request on it got no answer.
+func TestRefusedWithBody(t *testing.T) {
+	big := strings.Repeat("x", 1<<20)
+	for _, path := range []string{"/v2", "/v1/models", "/services/other/x", "/v1/completions"} {
+		for name, text := range map[string]string{
+			"length": post(path, big),
+			"chunked": strings.Replace(post(path, ""), "Content-Length: 0", "Transfer-Encoding: chunked", 1) +
+				fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(big), big),
+		} {
+			ln := listen(t)
+			serveOn(t, ln, newRouter(t))
+			conn := dial(t, ln)
+			reader := bufio.NewReader(conn)
+			go io.WriteString(conn, text+text)
+			for i := range 2 {
+				resp, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Errorf("%s %s: answer %d: %v", path, name, i, err)
+					break
+				}
+				if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode < 400 || resp.StatusCode >= 500 {
+					t.Errorf("%s %s: answer %d: %d %s %v", path, name, i, resp.StatusCode, body, err)
+				}
+			}
+		}
 	}
 }
 
@@ -227,7 +261,7 @@
 			}
 			body, err := io.ReadAll(resp.Body)
 			last := events(string(body))
-			if got := last[len(last)-1]; err != nil || (got == "|[DONE]") != wait || strings.HasPrefix(got, "error|") == wait {
+			if got := last[len(last)-1]; err != nil || (got == "|[DONE]") != wait || strings.Contains(got, `"reason":"notReady"`) == wait {
 				t.Errorf("last event %q, %v", got, err)
 			}
 			if err := <-stopped; (err == nil) != wait {
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/rcrowley/go-metrics"
@@ -196,7 +197,9 @@
 		"stop":            {path: path, body: `{"model":"small","prompt":"x","stop":["."]}`, message: "field stop is not supported"},
 		"UTF-8":           {path: path, body: "{\"model\":\"small\",\"prompt\":\"\xff\"}", message: "not valid UTF-8"},
 		"no messages":     {path: chat, body: `{"model":"small"}`, message: "field messages has to be a list"},
-		"messages type":   {path: chat, body: `{"model":"small","messages":{}}`, message: "field messages has to be a list, not object"},
+		"messages type":   {path: chat, body: `{"model":"small","messages":{}}`, message: "field messages has to be a list of at least one message"},
+		"message type":    {path: chat, body: `{"model":"small","messages":[1]}`, message: "field messages[0] has to be an object, not a number"},
+		"stream type":     {path: path, body: `{"model":"small","prompt":"x","stream":"yes"}`, message: "field stream has to be true or false, not string"},
 		"role":            {path: chat, body: `{"model":"small","messages":[{"role":"x","content":""}]}`, message: "field messages[0].role has to be"},
 		"content type":    {path: chat, body: `{"model":"small","messages":[{"role":"user","content":5}]}`, message: "field messages[0].content has to be a string, not a number"},
 		"part type":       {path: chat, body: `{"model":"small","messages":[{"role":"user","content":[{"type":"image"}]}]}`, message: "field messages[0].content[0].type has to be text"},
@@ -240,8 +243,9 @@
 			if tc.verdict == 0 {
 				tc.verdict = customer.NotRun
 			}
-			registry := metrics.NewRegistry()
-			resp, body := do(t, serve(t, r, caller.WithRegistry(registry)), request(t, "POST", tc.path, tc.body, tc.headers...))
+			registry, lines := metrics.NewRegistry(), memory.New()
+			c := serve(t, r, caller.WithRegistry(registry), caller.WithLogger(&log.Logger{Handler: lines}))
+			resp, body := do(t, c, request(t, "POST", tc.path, tc.body, tc.headers...))
 			f := decodeFailure(t, body).Error
 			if resp.StatusCode != tc.status || f.Reason != string(tc.reason) || f.Verdict != tc.verdict.String() || !strings.Contains(f.Message, tc.message) {
 				t.Errorf("got %d %s, want %d %s %s with %q", resp.StatusCode, body, tc.status, tc.reason, tc.verdict, tc.message)
@@ -252,6 +256,14 @@
 			if id := resp.Header.Get("X-Request-Id"); id == "" || id != f.RequestID {
 				t.Errorf("X-Request-Id = %q, in the body %q", id, f.RequestID)
 			}
+			if len(lines.Entries) == 0 {
+				t.Error("the refusal is not logged")
+			}
+			for _, line := range lines.Entries {
+				if line.Fields.Get("requestID") != f.RequestID {
+					t.Errorf("log line %q has request ID %v", line.Message, line.Fields.Get("requestID"))
+				}
+			}
 			if n := registry.Get("caller.refused." + string(tc.reason)).(metrics.Counter).Count(); n != 1 {
 				t.Errorf("counter of %s = %d, want 1", tc.reason, n)
 			}
@@ -474,7 +486,10 @@
 func TestBodyBounds(t *testing.T) {
 	prompt := strings.Repeat("x", 300<<10)
 	body := `{"model":"small","prompt":"` + prompt + `"}`
+	values := `{"model":"small","prompt":[` + strings.Repeat("0,", 150<<10) + `0]}`
+	quotes := `{"model":"small","prompt":"` + strings.Repeat(`\",[{\\`, 30<<10) + `"}`
 	for name, tc := range map[string]struct {
+		body    string
 		opts    []caller.Option
 		chunked bool
 		status  int
@@ -488,6 +503,8 @@
 		"memory":         {opts: []caller.Option{caller.WithBodyMemory(len(body))}, status: 413, reason: customer.ReasonTooLarge},
 		"memory chunked": {opts: []caller.Option{caller.WithBodyMemory(len(body))}, chunked: true, status: 413, reason: customer.ReasonTooLarge},
 		"enough memory":  {opts: []caller.Option{caller.WithBodyMemory(4 * len(body))}, status: 200},
+		"many values":    {body: values, opts: []caller.Option{caller.WithBodyMemory(9 << 20)}, status: 413, reason: customer.ReasonTooLarge},
+		"text of commas": {body: quotes, opts: []caller.Option{caller.WithBodyMemory(4 * len(quotes))}, status: 200},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(t)
@@ -497,14 +514,17 @@
 				return chunks(nil, "x")(ctx, c, sink)
 			}
 			c := serve(t, r, tc.opts...)
+			if tc.body == "" {
+				tc.body = body
+			}
 			// The second request shows that the first one holds nothing.
 			for range 2 {
-				req := request(t, "POST", "/v1/completions", body)
+				req := request(t, "POST", "/v1/completions", tc.body)
 				if tc.chunked {
 					req.ContentLength = -1
 				}
 				resp, answer := do(t, c, req)
-				if resp.StatusCode != tc.status || (tc.status == 200 && got != len(prompt)) {
+				if resp.StatusCode != tc.status || (tc.status == 200 && tc.body == body && got != len(prompt)) {
 					t.Fatalf("got %d and a prompt of %d bytes: %.200s", resp.StatusCode, got, answer)
 				}
 				if tc.status != 200 && decodeFailure(t, answer).Error.Reason != string(tc.reason) {
@@ -526,17 +546,14 @@
 		return chunks(nil, "x")(ctx, c, sink)
 	}
 	registry := metrics.NewRegistry()
-	c := serve(t, r, caller.WithBodyMemory(4*len(body)+1), caller.WithRegistry(registry))
-	ended := make(chan int, 1)
+	c := serve(t, r, caller.WithBodyMemory(4*len(body)-1), caller.WithRegistry(registry))
+	ended := make(chan error, 1)
 	go func() {
 		resp, err := c.Do(request(t, "POST", "/v1/completions", body))
-		if err != nil {
-			t.Error(err)
-			ended <- 0
-			return
+		if err == nil {
+			resp.Body.Close()
 		}
-		resp.Body.Close()
-		ended <- resp.StatusCode
+		ended <- err
 	}()
 	<-started
 	resp, answer := do(t, c, request(t, "POST", "/v1/completions", body))
@@ -544,8 +561,8 @@
 		t.Errorf("got %d %v %s", resp.StatusCode, resp.Header, answer)
 	}
 	close(release)
-	if status := <-ended; status != 200 {
-		t.Errorf("the request that ran: %d", status)
+	if err := <-ended; err != nil {
+		t.Error(err)
 	}
 	if held := registry.Get("caller.bodyBytes").(metrics.Gauge).Value(); held != 0 {
 		t.Errorf("%d bytes are held after all requests ended", held)
