vm: Serve requests from caller to endpoint under the published configuration

Assembles the packages into one entry VM: configuration, request path with grants and retries, plain services with claims, operators' API, graceful stop. The test starts two VMs with stand-ins and sends plain and streamed completions and a booking repeated through the other VM.

--- a/cmd/goldcrest/serve.go
+++ b/cmd/goldcrest/serve.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"goldcrestpath/operator"
+	"goldcrestpath/vm"
 )
 
 // entryVM is what serve needs of a VM.
@@ -22,9 +23,13 @@
 	Close()
 }
 
-// newVM starts the VM.
-var newVM = func(*operator.Settings) (entryVM, error) {
-	return nil, errors.New("this build has no entry VM")
+// newVM starts the VM. Tests replace it.
+var newVM = func(s *operator.Settings) (entryVM, error) {
+	v, err := vm.New(s, vm.WithVersion(version()))
+	if err != nil {
+		return nil, err // a nil *vm.VM would not be a nil entryVM
+	}
+	return v, nil
 }
 
 func serveCommand() *cli.Command {
--- /dev/null
+++ b/vm/call.go
@@ -0,0 +1,210 @@
+package vm
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/platform"
+	"goldcrestpath/service"
+)
+
+// headerReplayed marks an answer that was recorded for the same idempotency key earlier.
+const headerReplayed = "Goldcrest-Replayed"
+
+// Call serves a caller's call of a plain service. A non-idempotent call is sent at most once; with an idempotency key, at most once
+// over all VMs and data centres.
+func (v *VM) Call(ctx context.Context, r *service.Request) (*service.Response, error) {
+	v.running.Add(1)
+	defer v.running.Add(-1)
+	w := v.view()
+	contract, ok := w.contracts[r.Customer]
+	if !ok {
+		return nil, v.refused(customer.Refuse(customer.ReasonBadKey, "customer "+r.Customer+" has no contract"))
+	}
+	spec, known := w.service(r.Service)
+	if !known || !contract.AllowsService(r.Service) {
+		return nil, v.refused(customer.Refuse(customer.ReasonUnknownService, "service "+r.Service+" is not available under contract "+r.Customer))
+	}
+	admission, refusal := v.limiter.Admit(time.Now(), contract, 0, 0)
+	if refusal != nil {
+		return nil, v.refused(refusal)
+	}
+	defer func() { admission.End(time.Now(), 0) }()
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+
+	var resp *service.Response
+	var err error
+	if r.Key != "" && !service.Idempotent(spec, r) {
+		resp, err = v.callOnce(ctx, w, r)
+	} else {
+		resp, err = v.callAnywhere(ctx, w, r)
+	}
+	if err != nil {
+		return nil, v.refused(explain(ctx, err))
+	}
+	return resp, nil
+}
+
+// callOnce sends a keyed call if its claim on the key is the first one in the log. Other calls with the key get the first one's
+// answer.
+func (v *VM) callOnce(ctx context.Context, w *view, r *service.Request) (*service.Response, error) {
+	key := claimKey(r)
+	result, err := v.store.Claim(ctx, platform.Claim{Key: key, Digest: callDigest(r), Holder: v.place})
+	if err != nil {
+		return nil, err
+	}
+	switch result := result.(type) {
+	case platform.ClaimWon:
+		return v.callClaimed(ctx, w, r, key)
+	case platform.ClaimDone:
+		return replay(result.Outcome), nil
+	case platform.ClaimMismatch:
+		return nil, customer.Refuse(customer.ReasonKeyReused, "the idempotency key was used with a different request")
+	default:
+		return v.awaitOutcome(ctx, key)
+	}
+}
+
+// callClaimed sends the call that won the claim and records its outcome. A call that certainly did not run frees the key.
+func (v *VM) callClaimed(ctx context.Context, w *view, r *service.Request, key string) (*service.Response, error) {
+	resp, err := v.callAnywhere(ctx, w, r)
+	if err != nil {
+		if customer.AsRefusal(err).Verdict() == customer.NotRun {
+			v.background(func(ctx context.Context) { v.warn("release idempotency key", v.store.Release(ctx, key)) })
+		}
+		return nil, err
+	}
+	v.recordOutcome(key, outcomeOf(resp))
+	return resp, nil
+}
+
+// outcomeTimeout bounds the time that recording an outcome may take after the answer is known.
+const outcomeTimeout = 30 * time.Second
+
+// recordOutcome writes an outcome to the log in the background, so that a slow log does not delay the answer. If it fails, later
+// calls with the key are told that the first one may have run.
+func (v *VM) recordOutcome(key string, o platform.Outcome) {
+	v.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+		defer cancel()
+		if err := v.store.Complete(ctx, key, o); err != nil {
+			v.counters.add("outcome.unrecorded")
+			v.logger.WithError(err).Warn("call: outcome was not recorded")
+		}
+	})
+}
+
+// awaitOutcome waits for the outcome of the call that holds the key.
+func (v *VM) awaitOutcome(ctx context.Context, key string) (*service.Response, error) {
+	o, ok := v.store.AwaitOutcome(ctx, key)
+	if !ok {
+		return nil, customer.Fail(customer.ReasonClaimed, "another request holds this idempotency key and has no known outcome")
+	}
+	return replay(o), nil
+}
+
+// callAnywhere calls an instance of the service in this data centre, or else in another one.
+func (v *VM) callAnywhere(ctx context.Context, w *view, r *service.Request) (*service.Response, error) {
+	var refusal *customer.Refusal
+	if w.drained(v.dataCentre) {
+		refusal = customer.Refuse(customer.ReasonDrained, "data centre "+v.dataCentre+" is drained")
+	} else {
+		resp, err := v.callLocal(ctx, w, r)
+		if err == nil {
+			return resp, nil
+		}
+		refusal = customer.AsRefusal(err)
+	}
+	for _, site := range v.node.Sites() {
+		if refusal.Verdict() != customer.NotRun || ctx.Err() != nil {
+			break
+		}
+		if !site.Reachable || w.drained(site.DataCentre) || !w.offersService(site.DataCentre, r.Service) {
+			continue
+		}
+		v.counters.spill(string(refusal.Reason()))
+		resp, err := v.node.Call(ctx, site.DataCentre, r)
+		if err == nil {
+			return resp, nil
+		}
+		refusal = customer.AsRefusal(err)
+	}
+	return nil, refusal
+}
+
+// callLocal calls instances of the service in this data centre. A call that may have run is tried again only if it is idempotent.
+func (v *VM) callLocal(ctx context.Context, w *view, r *service.Request) (*service.Response, error) {
+	tried := make(map[string]bool)
+	verdict := customer.NotRun
+	refusal := customer.Refuse(customer.ReasonNoEndpoint, "no instance of service "+r.Service+" is free")
+	for attempt := 1; attempt <= maxAttempts; attempt++ {
+		specs := w.serviceSpecs(r.Service, tried)
+		if len(specs) == 0 {
+			break
+		}
+		pick, full := v.picker.Pick(time.Now(), specs)
+		if full != nil {
+			refusal = withVerdict(full, verdict)
+			break
+		}
+		spec := pick.Spec
+		resp, err := v.services.Do(ctx, spec, r)
+		pick.End(time.Now(), err != nil && endpointFault(err))
+		if err == nil {
+			return resp, nil
+		}
+		refusal = customer.AsRefusal(err)
+		if refusal.Verdict() == customer.MayHaveRun {
+			verdict = customer.MayHaveRun
+		}
+		refusal = withVerdict(refusal, verdict)
+		tried[spec.Name] = true
+		if !retryable(refusal) || (verdict == customer.MayHaveRun && !service.Idempotent(spec, r)) || ctx.Err() != nil {
+			break
+		}
+		if !v.retries.Spend(time.Now(), r.Customer) {
+			v.counters.refusal(string(customer.ReasonRetryBudget))
+			break
+		}
+		v.counters.retry(string(refusal.Reason()))
+	}
+	return nil, refusal
+}
+
+// claimKey returns the key's name in the log. Keys of different customers and services are apart.
+func claimKey(r *service.Request) string {
+	return strings.Join([]string{r.Customer, r.Service, r.Key}, "/")
+}
+
+// callDigest returns a hash that tells calls with the same key and different contents apart.
+func callDigest(r *service.Request) string {
+	h := sha256.New()
+	for _, part := range []string{r.Method, r.Path} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(r.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func outcomeOf(resp *service.Response) platform.Outcome {
+	o := platform.Outcome{Status: resp.Status, Body: resp.Body}
+	for _, h := range resp.Headers {
+		o.Headers = append(o.Headers, platform.Header{Name: h.Name, Value: h.Value})
+	}
+	return o
+}
+
+func replay(o platform.Outcome) *service.Response {
+	resp := &service.Response{Status: o.Status, Body: o.Body}
+	for _, h := range o.Headers {
+		resp.Headers = append(resp.Headers, service.Header{Name: h.Name, Value: h.Value})
+	}
+	resp.Headers = append(resp.Headers, service.Header{Name: headerReplayed, Value: "true"})
+	return resp
+}
--- /dev/null
+++ b/vm/configuration.go
@@ -0,0 +1,53 @@
+package vm
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/platform"
+)
+
+func targetDataCentre(name string) string { return platform.DataCentrePrefix + name }
+func targetVM(place string) string        { return platform.VMPrefix + place }
+func targetEndpoint(name string) string   { return platform.EndpointPrefix + name }
+
+func isContract(document string) bool { return strings.HasPrefix(document, platform.ContractPrefix) }
+
+// followConfiguration applies each change of the store's snapshot until Close.
+func (v *VM) followConfiguration() {
+	for {
+		select {
+		case <-v.store.Changed():
+			v.applyConfiguration()
+		case <-v.ctx.Done():
+			return
+		}
+	}
+}
+
+// applyConfiguration derives a view from the newest snapshot and passes the fleet to the node.
+func (v *VM) applyConfiguration() {
+	w, err := newView(v.dataCentre, v.store.Snapshot())
+	if err != nil {
+		v.logger.WithError(err).Error("configuration: parts were left out")
+	}
+	if old := v.view(); w.fleet == nil {
+		w.keepFleet(old)
+	}
+	v.current.Store(w)
+	if w.fleet == nil {
+		return
+	}
+	v.node.SetFleet(w.fleet.Places(), w.fleet.Engines(), w.snapshot.Drained)
+}
+
+// asProblems returns the findings in err, or one finding that has its text.
+func asProblems(file string, err error) customer.Problems {
+	var p customer.Problems
+	if errors.As(err, &p) {
+		return p
+	}
+	return customer.Problems{{File: file, Allowed: err.Error()}}
+}
--- /dev/null
+++ b/vm/listen.go
@@ -0,0 +1,95 @@
+package vm
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"goldcrestpath/caller"
+	"goldcrestpath/customer"
+	"goldcrestpath/engine"
+	"goldcrestpath/entry"
+	"goldcrestpath/service"
+)
+
+var (
+	_ caller.Router = (*VM)(nil)
+	_ entry.Local   = local{}
+)
+
+// startCaller opens the callers' listener.
+func (v *VM) startCaller() error {
+	cfg, err := v.settings.CallerTLS()
+	if err != nil {
+		return err
+	}
+	ln, err := listen(v.settings.CallerListen(), cfg)
+	if err != nil {
+		return errors.Wrap(err, "start callers' listener")
+	}
+	v.callerListen = ln
+	v.callers = caller.NewServer(v, caller.WithRegistry(v.registry), caller.WithLogger(v.logger), caller.WithBodyLimit(v.settings.BodyLimit()))
+	v.wg.Add(1)
+	go func() {
+		defer v.wg.Done()
+		if err := v.callers.Serve(ln); err != nil && v.ctx.Err() == nil {
+			v.logger.WithError(err).Error("vm: callers' listener failed")
+		}
+	}()
+	return nil
+}
+
+// listen opens a TCP listener, with TLS where cfg is not nil.
+func listen(address string, cfg *tls.Config) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if cfg != nil {
+		ln = tls.NewListener(ln, cfg)
+	}
+	return ln, nil
+}
+
+// CallerAddress returns the address of the callers' listener.
+func (v *VM) CallerAddress() string { return v.callerListen.Addr().String() }
+
+// PeerAddress returns the address of the peer listener.
+func (v *VM) PeerAddress() string { return v.node.Address() }
+
+// Contract implements caller.Router.
+func (v *VM) Contract(apiKey string) (*customer.Contract, bool) { return v.view().book.ByKey(apiKey) }
+
+// Models implements caller.Router.
+func (v *VM) Models(c *customer.Contract) []string { return v.view().modelNames(c) }
+
+// Estimate implements caller.Router.
+func (v *VM) Estimate(model string, bytes int) int { return v.estimator.Estimate(model, bytes) }
+
+// local serves requests that another data centre forwarded. They were admitted there and are not forwarded again.
+type local struct{ v *VM }
+
+// Complete implements engine.Completer.
+func (l local) Complete(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
+	w := l.v.view()
+	if w.drained(l.v.dataCentre) || l.v.stopping.Load() {
+		return customer.Refuse(customer.ReasonDrained, "data centre "+l.v.dataCentre+" takes no new work")
+	}
+	l.v.forwarded.Add(1)
+	defer l.v.forwarded.Add(-1)
+	return l.v.attempts(ctx, w, c, time.Now(), newRelay(sink))
+}
+
+// Call implements service.Caller.
+func (l local) Call(ctx context.Context, r *service.Request) (*service.Response, error) {
+	w := l.v.view()
+	if w.drained(l.v.dataCentre) || l.v.stopping.Load() {
+		return nil, customer.Refuse(customer.ReasonDrained, "data centre "+l.v.dataCentre+" takes no new work")
+	}
+	l.v.forwarded.Add(1)
+	defer l.v.forwarded.Add(-1)
+	return l.v.callLocal(ctx, w, r)
+}
--- /dev/null
+++ b/vm/vm_test.go
@@ -0,0 +1,188 @@
+package vm_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"goldcrestpath/operator"
+	"goldcrestpath/platform"
+	"goldcrestpath/standin"
+	"goldcrestpath/vm"
+)
+
+const apiKey = "test-key"
+
+// site is a small site on loopback: one data centre with its VMs, engines, a booking service and a log.
+type site struct {
+	log      *standin.Log
+	engines  []*standin.Engine
+	bookings *standin.Bookings
+	vms      []*vm.VM
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	address, err := standin.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+// newSite starts a site with n VMs and waits until all are ready.
+func newSite(t *testing.T, n int) *site {
+	t.Helper()
+	s := &site{bookings: standin.NewBookings()}
+	var err error
+	if s.log, err = standin.NewLog("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.log.Close)
+	var fleet strings.Builder
+	fmt.Fprintf(&fleet, "[dataCentre a]\nregion = r\n")
+	for i := range 2 {
+		cfg := standin.DefaultEngineConfig(fmt.Sprintf("e%d", i), "small")
+		e, err := standin.NewEngine("127.0.0.1:0", cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		s.engines = append(s.engines, e)
+		fmt.Fprintf(&fleet, "[engine e%d]\ndataCentre = a\naddress = %s\nmodel = small\nkvTokens = %d\nsequences = %d\nprefillRate = %g\ndecodeRate = %g\ncoldSequences = %d\n",
+			i, e.Address(), cfg.KVTokens, cfg.Sequences, cfg.PrefillRate*cfg.TimeScale, cfg.DecodeRate()*cfg.TimeScale, cfg.ColdSequences)
+	}
+	b, err := standin.NewBooking("127.0.0.1:0", s.bookings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	fmt.Fprintf(&fleet, "[service b0]\nservice = booking\ndataCentre = a\naddress = %s\nconcurrent = 8\n", b.Address())
+	peers := make([]string, n)
+	for i := range n {
+		peers[i] = freeAddress(t)
+		fmt.Fprintf(&fleet, "[vm a/%d]\ndataCentre = a\naddress = %s\n", i+1, peers[i])
+	}
+	sum := sha256.Sum256([]byte(apiKey))
+	contract := "[contract]\nname = team\nweight = 1\npriority = 1\ntokensPerSecond = 100000\nburst = 5000000\nconcurrent = 50\n" +
+		"longestPrompt = 1000000\nmodels = small\nservices = booking\n[keys]\nk = " + hex.EncodeToString(sum[:]) +
+		"\n[firstToken]\nshort = 20s\nmedium = 20s\nlong = 60s\nveryLong = 5m\n[deadline]\nshort = 60s\nmedium = 60s\nlong = 2m\nveryLong = 10m\n"
+	s.publish(t, "fleet", fleet.String())
+	s.publish(t, "contract/team", contract)
+	for i := range n {
+		s.vms = append(s.vms, startVM(t, fmt.Sprintf("a/%d", i+1), peers[i], s.log.Address(), peers))
+	}
+	for _, v := range s.vms {
+		waitFor(t, "readiness of every VM", v.Ready)
+	}
+	return s
+}
+
+func (s *site) publish(t *testing.T, document, content string) {
+	t.Helper()
+	store := platform.NewStore(platform.NewHTTPLog(s.log.Address()))
+	defer store.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for {
+		if _, err := store.Publish(ctx, document, 0, []byte(content)); err == nil {
+			return
+		} else if ctx.Err() != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func startVM(t *testing.T, place, peer, log string, contacts []string) *vm.VM {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "token"), []byte("0123456789abcdef"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text := fmt.Sprintf("[vm]\nplace = %s\ndataCentre = a\nstopDelay = 10ms\n[caller]\nlisten = %s\n[peer]\nlisten = %s\ncontacts = %s\n"+
+		"[operator]\nlisten = %s\ntokenFile = token\n[platform]\nlog = %s\n", place, freeAddress(t), peer, strings.Join(contacts, ", "), freeAddress(t), log)
+	settings, err := operator.ParseSettings(filepath.Join(dir, "settings.ini"), []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := vm.New(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(v.Close)
+	return v
+}
+
+// waitFor waits until f holds. The bound only ends a test that hangs.
+func waitFor(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 3000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("no %s", what)
+}
+
+// post sends a request to a VM and returns the status and the body.
+func post(t *testing.T, v *vm.VM, path, body string, header map[string]string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+v.CallerAddress()+path, bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	r.Header.Set("Content-Type", "application/json")
+	for k, val := range header {
+		r.Header.Set(k, val)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(data)
+}
+
+// TestWholePath guards against a break anywhere between a caller and an endpoint: completions plain and streamed, and a keyed call
+// repeated through another VM.
+func TestWholePath(t *testing.T) {
+	s := newSite(t, 2)
+	for i, v := range s.vms {
+		status, body := post(t, v, "/v1/completions", `{"model":"small","prompt":"hello there","max_tokens":8}`, map[string]string{"X-Request-Id": fmt.Sprintf("plain-%d", i)})
+		if want := standin.Answer(fmt.Sprintf("plain-%d", i), "small", 8); status != http.StatusOK || !strings.Contains(body, want) {
+			t.Errorf("VM %d: plain completion: status %d, body %s; want text %q", i, status, body, want)
+		}
+		status, body = post(t, v, "/v1/chat/completions", `{"model":"small","messages":[{"role":"user","content":"hello"}],"max_tokens":8,"stream":true}`, nil)
+		if status != http.StatusOK || !strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]") {
+			t.Errorf("VM %d: streamed chat completion: status %d, body %s", i, status, body)
+		}
+	}
+	first, body := post(t, s.vms[0], "/services/booking/bookings", `{"slot":1}`, map[string]string{"Idempotency-Key": "k1"})
+	second, again := post(t, s.vms[1], "/services/booking/bookings", `{"slot":1}`, map[string]string{"Idempotency-Key": "k1"})
+	if first != second || body != again || len(s.bookings.All()) != 1 {
+		t.Errorf("repeated booking: %d %s, then %d %s, with %d bookings recorded", first, body, second, again, len(s.bookings.All()))
+	}
+	for _, v := range s.vms {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		if err := v.Shutdown(ctx); err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+		cancel()
+	}
+}
