--- a/customer/problem.go
+++ b/customer/problem.go
@@ -17,9 +17,9 @@
 // String returns the finding in one line.
 func (p Problem) String() string {
 	var b strings.Builder
-	b.WriteString(p.File)
+	b.WriteString(p.File + ":")
 	if p.Section != "" {
-		fmt.Fprintf(&b, ": [%s]", p.Section)
+		fmt.Fprintf(&b, " [%s]", p.Section)
 	}
 	if p.Key != "" {
 		fmt.Fprintf(&b, " %s", p.Key)
@@ -27,7 +27,10 @@
 	if p.Value != "" {
 		fmt.Fprintf(&b, " = %q", p.Value)
 	}
-	fmt.Fprintf(&b, ": allowed is %s", p.Allowed)
+	if b.Len() > len(p.File)+1 {
+		b.WriteString(":")
+	}
+	fmt.Fprintf(&b, " allowed is %s", p.Allowed)
 	return b.String()
 }
 
