--- a/engine/client.go
+++ b/engine/client.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,17 +20,19 @@
 
 // Bounds of the client.
 const (
-	resumeTries   = 4                      // connections without progress after which a stream is given up
-	resumePause   = 50 * time.Millisecond  // before the second try, doubled for each further one; engines keep a stream for 2 s
-	cancelTimeout = 500 * time.Millisecond // for the cancellation of a stream after its context has ended
-	callTimeout   = 2 * time.Second        // for calls other than streams, where the context has no earlier deadline
-	maxAnswer     = 8 << 20                // bytes of any answer but a stream
+	resumeTries   = 4                       // connections without progress after which a stream is given up
+	resumePause   = 50 * time.Millisecond   // before the second try, doubled for each further one; engines keep a stream for 2 s
+	cancelTimeout = 500 * time.Millisecond  // for the cancellation of a stream after its context has ended
+	callTimeout   = 2 * time.Second         // for calls other than streams, where the context has no earlier deadline
+	defaultStall  = 1500 * time.Millisecond // silence after the first text; engines keep a broken stream for 2 s
+	maxAnswer     = 8 << 20                 // bytes of any answer but a stream
 )
 
 // Client speaks to model engines. Each completion is sent at most once; a lost stream is resumed, never started again.
 type Client struct {
 	incarnation uint64
 	now         func() time.Time
+	stall       time.Duration
 	ctx         context.Context // ends with Close
 	stop        context.CancelFunc
 	freeing     sync.WaitGroup
@@ -44,9 +47,12 @@
 // WithClock replaces the clock that grants are checked against.
 func WithClock(now func() time.Time) ClientOption { return func(c *Client) { c.now = now } }
 
+// WithStall sets after how much silence within an answer the connection counts as lost.
+func WithStall(d time.Duration) ClientOption { return func(c *Client) { c.stall = d } }
+
 // NewClient returns a client.
 func NewClient(opts ...ClientOption) *Client {
-	c := &Client{now: time.Now}
+	c := &Client{now: time.Now, stall: defaultStall}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
@@ -100,8 +106,8 @@
 		path := fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(g.ID), asm.offset)
 		_, err = c.connect(ctx, s, fasthttp.MethodGet, path, nil, nil, asm)
 		try++
-		if asm.offset > before {
-			try = 0
+		if asm.offset > before || err == errSilent {
+			try = 0 // a slow engine that still has the stream is waited for until the deadline
 		}
 	}
 	if err == nil {
@@ -161,7 +167,37 @@
 	if stream == nil {
 		return true, errTruncated
 	}
-	return true, asm.read(stream)
+	var silent atomic.Bool
+	watch := &watchedReader{r: stream, asm: asm, stall: c.stall, timer: time.AfterFunc(c.stall, func() {
+		silent.Store(true)
+		a.Close()
+	})}
+	watch.timer.Stop()
+	if err = asm.read(watch); err != nil && asm.sinkErr == nil && silent.Load() {
+		err = errSilent
+	}
+	return true, err
+}
+
+// errSilent means that the connection was closed because the engine sent nothing on it.
+var errSilent = errors.New("stream fell silent")
+
+// watchedReader closes the connection of an answer that falls silent, because a partition breaks no connection. Before the
+// first text the prefill may take any time.
+type watchedReader struct {
+	r     io.Reader
+	asm   *assembler
+	stall time.Duration
+	timer *time.Timer
+}
+
+// Read implements io.Reader.
+func (w *watchedReader) Read(b []byte) (int, error) {
+	if w.asm.offset > 0 {
+		w.timer.Reset(w.stall)
+		defer w.timer.Stop()
+	}
+	return w.r.Read(b)
 }
 
 // readAll reads an answer other than a stream. fasthttp has no body stream for an empty body.
