Let a new owner take over that an endpoint is warm

Cause: a new owner's ledger began at the cold-start allowance, and an owner without a majority of the shares could then grant nothing at a warm endpoint. Change: the node passes the last known load to the new ledger, which counts the endpoint as warm if the report shows the same instance and is not cold. Conclusion: TestLedgerInherit covers both directions; a new endpoint still starts at its allowance.

--- a/engine/ledger.go
+++ b/engine/ledger.go
@@ -58,6 +58,7 @@
 
 	allow      allowance
 	answerPart float64
+	inherited  Load // of the last owner
 }
 
 // reservation is what a grant holds.
--- a/engine/ledger_test.go
+++ b/engine/ledger_test.go
@@ -171,6 +171,30 @@
 	}
 }
 
+// Guards against a warm endpoint that counts as cold after a change of owner, and against a cold one that counts as warm.
+func TestLedgerInherit(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		last   engine.Load
+		report engine.Report
+		want   int
+	}{
+		{"nothing known", engine.Load{}, engine.Report{Instance: 1, Sequence: 1}, 2},
+		{"warm", engine.Load{Instance: 1}, engine.Report{Instance: 1, Sequence: 1}, 16},
+		{"cold at the last owner", engine.Load{Instance: 1, Cold: true}, engine.Report{Instance: 1, Sequence: 1}, 2},
+		{"restarted since", engine.Load{Instance: 1}, engine.Report{Instance: 2, Sequence: 1}, 2},
+		{"cold by its report", engine.Load{Instance: 1}, engine.Report{Instance: 1, Sequence: 1, Cold: true}, 2},
+	} {
+		l := engine.NewLedger(spec(), start)
+		l.Inherit(c.last)
+		l.SetShares(start, 3, 3)
+		l.Observe(start, c.report)
+		if got := l.Load().Allowance; got != c.want {
+			t.Errorf("%s: allowance %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against a large customer that takes the queue and the capacity from small ones.
 func TestLedgerFairness(t *testing.T) {
 	l := warm(spec(), engine.WithQueue(20))
--- a/engine/observe.go
+++ b/engine/observe.go
@@ -29,12 +29,20 @@
 	l.allow.observe(r.Cold)
 	if first && !r.Cold {
 		l.allow.raise(r.Running) // work that the endpoint bears at the moment
+		if l.inherited.Instance != 0 && l.inherited.Instance == r.Instance && !l.inherited.Cold {
+			l.allow.raise(l.allow.full)
+		}
 	}
 	l.matchStreams(r, sampled, restarted)
 	l.correctPrefill(r.PrefillBacklog, sampled, previous)
 	l.expire()
 }
 
+// Inherit tells a new ledger what the endpoint's last owner knew. An endpoint that was warm and still reports the same instance
+// counts as warm. Otherwise each change of owner would cost most of a warm endpoint's capacity, and all of it for an owner
+// without a majority of the shares.
+func (l *Ledger) Inherit(last Load) { l.inherited = last }
+
 // smaller returns the smaller of a configured and a reported bound. A bound of 0 is not stated.
 func smaller(configured, reported int) int {
 	if reported > 0 && reported < configured {
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -18,6 +18,8 @@
 	askSlice = time.Second
 	// abandonAfter is how long a queued demand stays without a request that waits for it.
 	abandonAfter = 1500 * time.Millisecond
+	// loadMemory is how long a load that the last owner told is worth knowing for a new owner. It covers a change of owner.
+	loadMemory = 20 * time.Second
 	// cancelRetry is the time between attempts to cancel a dead holder's streams.
 	cancelRetry = time.Second
 )
@@ -88,6 +90,9 @@
 		o := n.owned[name]
 		if o == nil {
 			o = &owned{spec: spec, ledger: n.opts.newLedger(spec, now), records: map[string]*record{}, cancels: map[BorrowerID]*cancellation{}}
+			if l, ok := o.ledger.(interface{ Inherit(engine.Load) }); ok && now.Sub(n.loads[name].at) < loadMemory {
+				l.Inherit(n.loads[name].load)
+			}
 			n.owned[name] = o
 			n.log.WithField("endpoint", name).Info("entry: endpoint taken over")
 		} else if o.spec != spec {
