entry: Test that a grant in use is not freed

A test now builds both cases directly: a holder that believes in another owner, and a cancelled request with a newer one.

--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -496,6 +496,49 @@
 	}
 }
 
+// Guards against an owner that frees a grant in use because the holder believes in another owner, or because an earlier
+// request for the same demand was cancelled. Both led to more work on an endpoint than it has memory for.
+func TestGrantInUseStays(t *testing.T) { bubble(t, testGrantInUseStays) }
+
+func testGrantInUseStays(t *testing.T) {
+	f := newFleet(t, "jm-a/1", "jm-a/2", "jm-a/3")
+	specs := testSpecs("jm-a", "e1")
+	endpoint := &fakeEndpoint{}
+	for i := range f.places {
+		f.start(i, specs, WithEndpoints(endpoint), WithFirstStart())
+	}
+	order := f.agree("e1")
+	owner, holder := order[0], order[2]
+	g, err := holder.Grant(t.Context(), "e1", demand("r1", time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	endpoint.begin(g)
+	holder.SetFleet(f.places, specs, func(target string) bool { return target == "vm/"+owner.cfg.Place })
+	if other, _ := holder.Owner("e1"); other == owner.cfg.Place {
+		t.Fatal("the holder still believes in the first owner")
+	}
+	owner.do(func() {
+		d := demand("r2", time.Minute)
+		d.Holder = owner.cfg.Place
+		earlier := owner.ask(time.Now(), "e1", d, owner.cfg.Incarnation, owner.round+100)
+		later := owner.ask(time.Now(), "e1", d, owner.cfg.Incarnation, owner.round+100)
+		if a := <-later; !a.granted {
+			t.Errorf("later request: %+v", a)
+		}
+		owner.cancelAsk("e1", d.ID, earlier)
+		if owner.owned["e1"].records[d.ID] == nil {
+			t.Error("the earlier request freed what the later one was granted")
+		}
+	})
+	time.Sleep(5 * time.Second)
+	owner.do(func() {
+		if owner.owned["e1"].records[g.ID] == nil {
+			t.Error("the owner freed the grant in use")
+		}
+	})
+}
+
 // Guards against two owners that together overload an endpoint while VMs are cut off, return and are replaced, and against an
 // endpoint that nobody serves afterwards.
 func TestPartitions(t *testing.T) { bubble(t, testPartitions) }
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -310,16 +310,20 @@
 			return askAnswer{}
 		}
 	case <-ctx.Done():
-		n.do(func() {
-			// A newer request for the same demand may have come over another connection.
-			if o := n.owned[endpoint]; o != nil && o.records[d.ID] != nil && o.records[d.ID].last == ch {
-				n.free(time.Now(), endpoint, d.ID, d.Holder, nil)
-			}
-		})
+		n.do(func() { n.cancelAsk(endpoint, d.ID, ch) })
 		return refuse(customer.ReasonCallerGone, "the request was cancelled")
 	}
 }
 
+// cancelAsk ends a demand whose request was cancelled, unless a newer request for it came over another connection.
+func (n *Node) cancelAsk(endpoint, id string, ch chan askAnswer) {
+	if o := n.owned[endpoint]; o != nil {
+		if r := o.records[id]; r != nil && r.last == ch {
+			n.free(time.Now(), endpoint, id, r.demand.Holder, nil)
+		}
+	}
+}
+
 // unwait detaches a request from a queued demand, which keeps its position until the next request.
 func (n *Node) unwait(endpoint, id string, ch chan askAnswer) {
 	if o := n.owned[endpoint]; o != nil {
