Add the site of real entry VMs, without their start

The site writes settings, publishes the configuration and drains through the operators API. Only the call of vm.New is missing until that package exists.

--- a/cmd/goldlab/lab_test.go
+++ b/cmd/goldlab/lab_test.go
@@ -53,6 +53,8 @@
 func (f *fakeSite) Start(string) error                       { return nil }
 func (f *fakeSite) Stop(context.Context, string, bool) error { return nil }
 
+func (f *fakeSite) Publish(context.Context, string, string) error { return nil }
+
 func (f *fakeSite) Callers(string) []string {
 	var all []string
 	for _, p := range f.lab.places {
--- a/cmd/goldlab/site.go
+++ b/cmd/goldlab/site.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"goldcrestpath/customer"
+	"goldcrestpath/operator"
 	"goldcrestpath/standin"
 )
 
@@ -23,6 +24,8 @@
 	Stop(ctx context.Context, place string, graceful bool) error
 	// Callers returns the callers' addresses of the VMs in a data centre, or of all VMs for "".
 	Callers(dataCentre string) []string
+	// Publish publishes the first revision of a document.
+	Publish(ctx context.Context, document, content string) error
 	// SetDrained takes a data centre, VM or endpoint out or back.
 	SetDrained(ctx context.Context, target string, drained bool) error
 	// Close stops all VMs at once.
@@ -74,6 +77,7 @@
 	relays := l.relays[p.dataCentre]
 	section(&b, "platform", "log", relays[0].Address(), "vmList", relays[1].Address(), "weightStore", relays[2].Address(),
 		"claimRetention", claimRetention.String())
+	section(&b, "log", "level", "error")
 	section(&b, "routing", "policy", l.cfg.policy)
 	return b.String()
 }
@@ -149,4 +153,7 @@
 }
 
 // newSite starts the site of a lab; tests replace it.
-var newSite = func(context.Context, *lab) (Site, error) { return nil, errors.New("this build has no entry VMs") }
+var newSite = startVMSite
+
+// newVM starts the VM of a settings file.
+var newVM = func(*operator.Settings) (entryVM, error) { return nil, errors.New("this build has no entry VMs") }
