--- a/cmd/goldlab/site.go
+++ b/cmd/goldlab/site.go
@@ -9,10 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"goldcrestpath/customer"
-	"goldcrestpath/operator"
 	"goldcrestpath/standin"
 )
 
@@ -77,7 +74,6 @@
 	relays := l.relays[p.dataCentre]
 	section(&b, "platform", "log", relays[0].Address(), "vmList", relays[1].Address(), "weightStore", relays[2].Address(),
 		"claimRetention", claimRetention.String())
-	section(&b, "log", "level", "error")
 	section(&b, "routing", "policy", l.cfg.policy)
 	return b.String()
 }
@@ -154,6 +150,3 @@
 
 // newSite starts the site of a lab; tests replace it.
 var newSite = startVMSite
-
-// newVM starts the VM of a settings file.
-var newVM = func(*operator.Settings) (entryVM, error) { return nil, errors.New("this build has no entry VMs") }
--- a/cmd/goldlab/vmsite.go
+++ b/cmd/goldlab/vmsite.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"goldcrestpath/operator"
+	"goldcrestpath/vm"
 )
 
 const (
@@ -21,17 +22,11 @@
 	stopWithin = time.Minute
 )
 
-// entryVM is a running entry VM.
-type entryVM interface {
-	Shutdown(ctx context.Context) error
-	Close()
-}
-
 // vmSite runs the entry VMs of a lab in this process.
 type vmSite struct {
 	lab *lab
 	dir string // settings and token
-	vms map[string]entryVM
+	vms map[string]*vm.VM
 }
 
 // startVMSite returns a site with no VM started.
@@ -43,7 +38,7 @@
 	if err := os.WriteFile(filepath.Join(dir, tokenFile), []byte(operatorToken+"\n"), 0o600); err != nil {
 		return nil, err
 	}
-	return &vmSite{lab: l, dir: dir, vms: map[string]entryVM{}}, nil
+	return &vmSite{lab: l, dir: dir, vms: map[string]*vm.VM{}}, nil
 }
 
 // Start implements Site.
@@ -60,7 +55,7 @@
 		if err != nil {
 			return err
 		}
-		v, err := newVM(settings)
+		v, err := vm.New(settings)
 		if err != nil {
 			return err
 		}
