--- a/vm/vm.go
+++ b/vm/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -98,7 +99,7 @@
 		registry:    metrics.NewRegistry(),
 		limiter:     customer.NewLimiter(customer.WithWholeContracts()),
 		retries:     customer.NewRetryBudget(),
-		backoff:     customer.NewBackoff(backoffBase, backoffLimit, nil),
+		backoff:     customer.NewBackoff(backoffBase, backoffLimit, rand.Float64),
 		estimator:   customer.NewEstimator(),
 		services:    service.NewClient(),
 		picker:      service.NewPicker(),
