--- a/entry/owner.go
+++ b/entry/owner.go
@@ -18,6 +18,8 @@
 	askSlice = time.Second
 	// abandonAfter is how long a queued demand stays without a request that waits for it.
 	abandonAfter = 1500 * time.Millisecond
+	// loadMemory is how long a load that the last owner told is worth knowing for a new owner. It covers a change of owner.
+	loadMemory = 20 * time.Second
 	// cancelRetry is the time between attempts to cancel a dead holder's streams.
 	cancelRetry = time.Second
 )
@@ -88,6 +90,9 @@
 		o := n.owned[name]
 		if o == nil {
 			o = &owned{spec: spec, ledger: n.opts.newLedger(spec, now), records: map[string]*record{}, cancels: map[BorrowerID]*cancellation{}}
+			if l, ok := o.ledger.(interface{ Inherit(engine.Load) }); ok && now.Sub(n.loads[name].at) < loadMemory {
+				l.Inherit(n.loads[name].load)
+			}
 			n.owned[name] = o
 			n.log.WithField("endpoint", name).Info("entry: endpoint taken over")
 		} else if o.spec != spec {
@@ -310,16 +315,20 @@
 			return askAnswer{}
 		}
 	case <-ctx.Done():
-		n.do(func() {
-			// A newer request for the same demand may have come over another connection.
-			if o := n.owned[endpoint]; o != nil && o.records[d.ID] != nil && o.records[d.ID].last == ch {
-				n.free(time.Now(), endpoint, d.ID, d.Holder, nil)
-			}
-		})
+		n.do(func() { n.cancelAsk(endpoint, d.ID, ch) })
 		return refuse(customer.ReasonCallerGone, "the request was cancelled")
 	}
 }
 
+// cancelAsk ends a demand whose request was cancelled, unless a newer request for it came over another connection.
+func (n *Node) cancelAsk(endpoint, id string, ch chan askAnswer) {
+	if o := n.owned[endpoint]; o != nil {
+		if r := o.records[id]; r != nil && r.last == ch {
+			n.free(time.Now(), endpoint, id, r.demand.Holder, nil)
+		}
+	}
+}
+
 // unwait detaches a request from a queued demand, which keeps its position until the next request.
 func (n *Node) unwait(endpoint, id string, ch chan askAnswer) {
 	if o := n.owned[endpoint]; o != nil {
