goldlab: Measure what control of one VM costs by size

The design size gives budgets for each node, but nothing measures how control grows towards it.

"goldlab slopes" runs 3 to 24 entry VMs in one process, one VM among up to 313 simulated members, the types without I/O up to the design size, and calls through a VM against direct calls, and fits a line through each cost.

--- /dev/null
+++ b/cmd/goldlab/slopes_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestFitLine guards against a wrong slope, intercept or residual, from which docs/CAPACITY.md extrapolates.
+func TestFitLine(t *testing.T) {
+	for _, c := range []struct {
+		points []point
+		want   [3]float64
+	}{
+		{nil, [3]float64{}},
+		{[]point{{2, 5}}, [3]float64{0, 5, 0}},
+		{[]point{{0, 1}, {1, 3}, {2, 5}}, [3]float64{2, 1, 0}},
+		{[]point{{0, 1}, {0, 3}, {2, 1}, {2, 3}}, [3]float64{0, 2, 1}},
+	} {
+		var got [3]float64
+		got[0], got[1], got[2] = fitLine(c.points)
+		if d := cmp.Diff(c.want, got); d != "" {
+			t.Errorf("line through %v: %s", c.points, d)
+		}
+	}
+}
+
+// TestMeasureMesh guards against a measurement that silently measures nothing: without traffic, grants or simulated answers.
+func TestMeasureMesh(t *testing.T) {
+	for _, cfg := range []meshConfig{
+		{members: 3, endpoints: 3, customers: 2, rate: 50, held: 2, length: 300 * time.Millisecond},
+		{members: 1, simulated: 9, endpoints: 30, customers: 2, held: 5, remote: 6, length: 300 * time.Millisecond},
+	} {
+		c, err := measureMesh(t.Context(), cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.cpu <= 0 || c.bytes <= 0 {
+			t.Errorf("%+v: measured nothing: %+v", cfg, c)
+		}
+	}
+}
+
+// BenchmarkDecision is the decision of one request at the design size, with the endpoints of a data centre spread over four
+// models and all in one. The target is 20 us with four.
+func BenchmarkDecision(b *testing.B) {
+	for _, models := range []int{designModels, 1} {
+		b.Run(fmt.Sprint("models=", models), func(b *testing.B) {
+			call, err := newDecision(designEndpoints, models, rand.New(rand.NewPCG(1, 0)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				call()
+			}
+		})
+	}
+}
+
+// BenchmarkMembersTick is the membership's part of the control tick, 20 of which are made a second.
+func BenchmarkMembersTick(b *testing.B) {
+	m := newMembers(designMembers, rand.New(rand.NewPCG(1, 0)))
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Tick(time.Now())
+	}
+}
