entry: Bound the renewals of grants in use

Each VM told every owner of its grants in use in every second.

An owner hears at once when something may have been missed: a new owner, an owner that restarted, a release, renewal or registration that was not delivered. The others hear in turn, eight a second, which is every second up to eight owners as before. What an owner forgot without such a sign stays counted through the endpoint's report until its turn, at most 40 s with 314 owners.

Fewer loads reach a VM by them; grants and probes still carry loads.

--- a/entry/grants.go
+++ b/entry/grants.go
@@ -149,7 +149,7 @@
 			n.held[g.ID] = h
 		}
 		h.grant, h.asking, h.told[g.Owner] = *g, true, true
-		n.owners[g.Owner] = true
+		n.owners.add(g.Asked, g.Owner)
 	})
 	switch {
 	case !running:
@@ -224,14 +224,18 @@
 				continue
 			}
 			address := n.addressOf(owner)
-			n.background(func(ctx context.Context) {
+			started := n.background(func(ctx context.Context) {
 				ctx, cancel := context.WithTimeout(ctx, callTimeout)
 				defer cancel()
 				req := &releaseRequest{Endpoint: g.Endpoint, ID: g.ID, Holder: g.Holder, Result: result}
 				if _, err := call[struct{}](ctx, n.transport, address, "release", req); err != nil {
 					n.log.WithError(err).WithField("owner", owner).Debug("entry: release not delivered")
+					n.post(func() { n.owners.hurry(owner) })
 				}
 			})
+			if !started {
+				n.owners.hurry(owner)
+			}
 		}
 	})
 }
@@ -265,21 +269,28 @@
 	Loads   []loadWire `cbor:"loads,omitempty"`
 }
 
-// renewGrants tells each owner which grants are in use. An owner that has freed everything hears of it once more, because
+// renewGrants tells owners which grants are in use. An owner that has freed everything hears of it once more, because
 // the release may have been lost.
-func (n *Node) renewGrants() {
+func (n *Node) renewGrants(now time.Time) {
 	n.round++
+	for _, h := range n.held {
+		if owner, ok := n.candidate(endpointResource(h.grant.Endpoint)); ok && !h.asking && !h.told[owner] {
+			h.told[owner] = true
+			n.owners.add(now, owner).urgent = true
+		}
+		for owner := range h.told {
+			n.owners.add(now, owner)
+		}
+	}
 	batches := map[string][]renewItem{}
-	for owner := range n.owners {
+	for _, owner := range n.owners.take(now, n.cfg.Place, maxRenewals, n.incarnationOf) {
 		batches[owner] = nil
 	}
 	for id, h := range n.held {
-		if owner, ok := n.candidate(endpointResource(h.grant.Endpoint)); ok && !h.asking {
-			h.told[owner] = true
-		}
 		for owner := range h.told {
-			batches[owner] = append(batches[owner], renewItem{Endpoint: h.grant.Endpoint, ID: id, Asking: h.asking})
-			n.owners[owner] = true
+			if items, ok := batches[owner]; ok {
+				batches[owner] = append(items, renewItem{Endpoint: h.grant.Endpoint, ID: id, Asking: h.asking})
+			}
 		}
 	}
 	for owner, items := range batches {
@@ -287,6 +298,11 @@
 	}
 }
 
+func (n *Node) incarnationOf(place string) uint64 {
+	m, _ := n.members.Get(place)
+	return m.incarnation
+}
+
 func (n *Node) sendRenew(owner string, req *renewRequest) {
 	if owner == n.cfg.Place {
 		if rep := n.renew(time.Now(), req); len(rep.Unknown) > 0 {
@@ -299,14 +315,17 @@
 		delete(n.owners, owner)
 		return
 	}
-	n.background(func(ctx context.Context) {
+	started := n.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		rep, err := call[renewReply](ctx, n.transport, address, "renew", req)
 		n.post(func() {
 			if err != nil {
 				n.log.WithError(err).WithField("owner", owner).Debug("entry: renewal not delivered")
-				if !n.members.Live(owner) && len(req.Grants) == 0 {
+				switch {
+				case n.members.Live(owner):
+					n.owners.hurry(owner)
+				case len(req.Grants) == 0:
 					delete(n.owners, owner)
 				}
 				return
@@ -321,22 +340,29 @@
 			if len(rep.Unknown) > 0 {
 				again := n.withDemands(req, rep.Unknown)
 				if len(again.Grants) > 0 {
-					n.register(address, again)
+					n.register(owner, address, again)
 				}
 			}
 		})
 	})
+	if !started {
+		n.owners.hurry(owner)
+	}
 }
 
 // register sends the demands of grants that a new owner does not know.
-func (n *Node) register(address string, req *renewRequest) {
-	n.background(func(ctx context.Context) {
+func (n *Node) register(owner, address string, req *renewRequest) {
+	started := n.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if _, err := call[renewReply](ctx, n.transport, address, "renew", req); err != nil {
-			n.log.WithError(err).WithField("address", address).Debug("entry: registration not delivered")
+			n.log.WithError(err).WithField("owner", owner).Debug("entry: registration not delivered")
+			n.post(func() { n.owners.hurry(owner) })
 		}
 	})
+	if !started {
+		n.owners.hurry(owner)
+	}
 }
 
 // withDemands returns a message that registers the named grants as far as they are still in use.
--- a/entry/node.go
+++ b/entry/node.go
@@ -69,7 +69,7 @@
 	loads     map[string]knownLoad
 	held      map[string]*heldGrant
 	round     uint64
-	owners    map[string]bool // owner places that have to hear of this VM's grants in use
+	owners    renewals // owner places that have to hear of this VM's grants in use
 	sites     *sites
 	contacts  int // next of the contacts in the settings
 	syncing   syncState
@@ -117,7 +117,7 @@
 		owned:    map[string]*owned{},
 		loads:    map[string]knownLoad{},
 		held:     map[string]*heldGrant{},
-		owners:   map[string]bool{},
+		owners:   renewals{},
 		nextAsk:  map[shareKey]time.Time{},
 		returns:  map[string][]shareReturn{},
 		ranks:    map[string][]string{},
@@ -250,7 +250,7 @@
 	}
 	if !now.Before(n.nextRenew) {
 		n.nextRenew = now.Add(renewInterval)
-		n.renewGrants()
+		n.renewGrants(now)
 	}
 	if !now.Before(n.nextView) {
 		n.publish(now)
