vm: Enforce customers' limits over all VMs with leased parts

Cause: each VM enforced the whole contract by itself, so a site of n VMs served n times the contract.

The limiter's bucket may go into debt: a request is admitted when the bucket holds the smallest of its tokens, one second of the VM's rate and the VM's burst, and is charged in full, so a prompt longer than a VM's part of the burst passes. A new part's bucket is empty; an unused part is full again after burst / rate seconds. An owner leaves running requests their places, and VMs of equal demand take turns of 10 s where there are fewer places than VMs.

--- a/customer/limiter.go
+++ b/customer/limiter.go
@@ -29,11 +29,22 @@
 
 // Limiter enforces contracts on one VM. It is safe for concurrent use.
 //
-// Invariant: a VM uses only what is leased to it. A part that grows adds an empty bucket, a part that shrinks or expires
-// loses what the bucket held above it, and an expired part leaves zero. So if the parts of all VMs add up to at most the
-// contract, the admissions of all VMs do as well: in any time at most rate x time + burst. A floor above zero after the
-// expiry would break this, because the lender may already have leased the same part to another VM. Admitted requests run on
-// after an expiry; the lender counts them by Demand.Running before it lends their places again.
+// Each VM has a token bucket that may go into debt. A request is admitted when the bucket holds the smallest of its tokens, one
+// second of the VM's rate and the VM's burst. It is charged in full, and later requests wait until the debt is repaid, so a
+// prompt passes that is longer than the VM's part of the burst. A request without tokens does not use the bucket.
+//
+// Invariant: a VM uses only what is leased to it. The bucket of a new part is empty and a part that grows adds no tokens; a
+// part that shrinks or expires loses what the bucket held above it, and keeps a debt. So if the parts of all VMs add up to at
+// most the contract, the deployment admits in any time T at most
+//
+//	rate x T + burst + one largest request (prompt and answer limit) for each VM.
+//
+// Proof: refills add at most rate x T to the sum of all levels, which is at most the burst, and no level is below minus one
+// request, because a request is admitted only at a level of zero or above. Tokens in a new bucket would break this, because
+// they would be added again with each move of a part. An unused part is full again after burst / rate seconds, the same on
+// each VM as for the whole contract, and admits any request after one second.
+//
+// Admitted requests run on after an expiry; their VM reports them as running, and the lender leaves it their places.
 type Limiter struct {
 	whole bool
 
@@ -46,6 +57,7 @@
 	part    Part
 	bucket  bucket
 	running int
+	since   time.Time // when the part was new or its rate doubled
 	demand  Demand
 }
 
@@ -56,7 +68,9 @@
 	Largest       int // largest single request
 	RefusedTokens int // refused by the token rate
 	Refused       int // requests refused by rate or concurrency
+	Places        int // most places that were needed at a time: running requests and those that found no place
 	Running       int // requests running now, even those of an expired part
+	Debt          int // tokens that the bucket has to repay
 }
 
 // LimiterOption changes a Limiter.
@@ -86,6 +100,9 @@
 	s := l.state(customer)
 	s.expire(now)
 	s.bucket.advance(now)
+	if p.TokensPerSecond >= 2*s.part.TokensPerSecond {
+		s.since = now // what a request needs has grown faster than the bucket
+	}
 	s.part = p
 	s.bucket.rate = float64(max(0, p.TokensPerSecond))
 	s.bucket.burst = float64(max(0, p.Burst))
@@ -95,6 +112,35 @@
 // Admit charges the request's estimated tokens, or refuses the request with the contract line that limits it. Nothing is
 // charged for a refused request. The caller has to call End on the admission.
 func (l *Limiter) Admit(now time.Time, c *Contract, promptTokens, maxTokens int) (*Admission, *Refusal) {
+	return l.admit(now, c, promptTokens, maxTokens, true)
+}
+
+// AdmitAgain is like Admit for a request that Admit has refused and that waited. It is not counted as demand again.
+func (l *Limiter) AdmitAgain(now time.Time, c *Contract, promptTokens, maxTokens int) (*Admission, *Refusal) {
+	return l.admit(now, c, promptTokens, maxTokens, false)
+}
+
+// Starting says whether the customer's requests are refused at now because this VM has no part yet, or has had it or twice its
+// former rate for less than a second, in which its bucket begins to fill.
+func (l *Limiter) Starting(now time.Time, customer string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.state(customer)
+	if l.whole {
+		return false
+	}
+	s.expire(now)
+	return s.part.TokensPerSecond == 0 || s.part.Concurrent == 0 || now.Before(s.since.Add(partRetryAfter))
+}
+
+// Running returns the number of the customer's requests that run on this VM.
+func (l *Limiter) Running(customer string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state(customer).running
+}
+
+func (l *Limiter) admit(now time.Time, c *Contract, promptTokens, maxTokens int, first bool) (*Admission, *Refusal) {
 	limits := c.Limits()
 	tokens := max(0, promptTokens) + max(0, maxTokens)
 	if promptTokens > limits.LongestPrompt() {
@@ -112,13 +158,11 @@
 		s.expire(now)
 	}
 	s.bucket.advance(now)
-	s.demand.Tokens += tokens
-	s.demand.Largest = max(s.demand.Largest, tokens)
-	if r := s.check(c, tokens); r != nil {
-		s.demand.Refused++
-		if r.Reason() == ReasonTokenRate {
-			s.demand.RefusedTokens += tokens
-		}
+	r := s.check(c, tokens)
+	if first {
+		s.ask(tokens, r)
+	}
+	if r != nil {
 		return nil, r
 	}
 	s.bucket.level -= float64(tokens)
@@ -126,6 +170,23 @@
 	return &Admission{limiter: l, state: s, charged: tokens}, nil
 }
 
+// ask counts a request and its refusal, if any, as demand.
+func (s *limitState) ask(tokens int, r *Refusal) {
+	d := &s.demand
+	d.Tokens += tokens
+	d.Largest = max(d.Largest, tokens)
+	places := s.running + 1
+	if r != nil {
+		d.Refused++
+		if r.Reason() == ReasonTokenRate {
+			d.RefusedTokens += tokens
+		} else {
+			places = max(d.Places, s.running) + 1
+		}
+	}
+	d.Places = max(d.Places, places)
+}
+
 // Demands returns what customers asked of this VM since the last call, in the order of their names, and
 // starts the counts again.
 func (l *Limiter) Demands() []Demand {
@@ -134,7 +195,8 @@
 	demands := make([]Demand, 0, len(l.states))
 	for name, s := range l.states {
 		d := s.demand
-		d.Customer, d.Running = name, s.running
+		d.Customer, d.Running, d.Debt = name, s.running, max(0, -int(s.bucket.level))
+		d.Places = max(d.Places, s.running)
 		demands = append(demands, d)
 		s.demand = Demand{}
 	}
@@ -156,7 +218,7 @@
 	if now.Before(s.part.Expires) {
 		return
 	}
-	s.part = Part{}
+	s.part, s.since = Part{}, time.Time{}
 	s.bucket = bucket{level: min(s.bucket.level, 0), at: s.bucket.at}
 }
 
@@ -179,11 +241,13 @@
 		return Refuse(ReasonConcurrency, fmt.Sprintf("%d requests are running, %d may run on this VM; %s",
 			s.running, s.part.Concurrent, c.Line("concurrent")), RetryAfter(concurrencyRetryAfter))
 	}
-	if tokens > s.part.Burst {
-		return Refuse(ReasonTokenRate, fmt.Sprintf("the request has about %d tokens, %d may be used at once on this VM; %s",
-			tokens, s.part.Burst, c.Line("burst")), RetryAfter(partRetryAfter))
+	if tokens == 0 {
+		return nil
+	}
+	if s.part.TokensPerSecond == 0 {
+		return Refuse(ReasonTokenRate, "no tokens are leased to this VM at present; "+c.Line("tokensPerSecond"), RetryAfter(partRetryAfter))
 	}
-	if wait := s.bucket.wait(float64(tokens)); wait > 0 {
+	if wait := s.bucket.wait(float64(min(tokens, s.part.TokensPerSecond, s.part.Burst))); wait > 0 {
 		return Refuse(ReasonTokenRate, fmt.Sprintf("the request has about %d tokens, %d are available on this VM; %s",
 			tokens, max(0, int(s.bucket.level)), c.Line("tokensPerSecond")), RetryAfter(wait))
 	}
--- a/entry/options.go
+++ b/entry/options.go
@@ -72,7 +72,7 @@
 	dial       func(ctx context.Context, address string) (net.Conn, error)
 	firstStart bool
 	mayLend    func() bool
-	demand     func(customer string) Quota
+	demand     func(customer string) Need
 }
 
 // WithSyncer sets the configuration state to exchange.
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -53,9 +53,23 @@
 	demandTimeout = 3 * time.Second
 )
 
-// WithDemand sets the function that tells what this VM's requests of a customer need. Without it the VMs that a customer
-// sends requests to get equal parts.
-func WithDemand(f func(customer string) Quota) Option { return func(o *options) { o.demand = f } }
+// Need is what this VM's requests of a customer need.
+type Need struct {
+	TokensPerSecond int
+	Concurrent      int // requests, running ones included
+	Running         int // requests that run now; the VM keeps their places until they end
+}
+
+func (d Need) units(k quotaKind) (units, inUse int) {
+	if k == quotaRate {
+		return max(0, d.TokensPerSecond), 0
+	}
+	return max(0, d.Concurrent), max(0, d.Running)
+}
+
+// WithDemand sets the function that tells what this VM's requests of a customer need. It is called on the control goroutine.
+// Without it the VMs that a customer sends requests to get equal parts.
+func WithDemand(f func(customer string) Need) Option { return func(o *options) { o.demand = f } }
 
 // quotas leases customers' limits. A customer's owner in the data centre borrows the shares of the customer from guardians,
 // as with endpoints, and lends parts to VMs. Interest and view are for all goroutines, the rest belongs to the control
@@ -103,14 +117,17 @@
 }
 
 // Part returns what this VM may use of a customer's quota: a reserve that each place has and a leased part. The first call for
-// a customer makes the VM ask for a leased part; it reports false until the next tick. A part can shrink before it expires; the caller takes a smaller one over within a second, before its owner lends the rest to
-// another VM.
+// a customer makes the VM ask for a leased part; it reports false until the next tick. A part can shrink before it expires; the
+// caller takes a smaller one over within 300 ms, before its owner lends the rest to another VM.
 func (n *Node) Part(customer string) (Part, bool) {
 	n.quotas.interest.Store(customer, time.Now())
 	p, ok := (*n.quotas.view.Load())[customer]
 	return p, ok && time.Now().Before(p.Expires)
 }
 
+// Parts returns this VM's parts of all customers. It does not count as use.
+func (n *Node) Parts() map[string]Part { return *n.quotas.view.Load() }
+
 // setDataCentres takes the data centres from the list of places.
 func (n *Node) setDataCentres() {
 	n.quotas.dataCentres = nil
@@ -183,12 +200,16 @@
 	seen  time.Time
 }
 
+// demandTurn is how long a VM comes first among VMs of equal demand. With fewer units than VMs the units go round.
+const demandTurn = 10 * time.Second
+
 // target returns what a VM should have of total units: its demand where all demands fit, otherwise a max-min fair part. What
 // is left is divided equally, so that each VM can take a burst without asking.
 func (d demands) target(now time.Time, total int, who BorrowerID) int {
 	type wish struct {
 		id    BorrowerID
 		units int
+		turn  int
 	}
 	var all []wish
 	for id, s := range d {
@@ -196,10 +217,19 @@
 			delete(d, id)
 			continue
 		}
-		all = append(all, wish{id, s.units})
+		all = append(all, wish{id: id, units: s.units})
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.SortFunc(all, func(a, b wish) int {
+		return cmp.Or(cmp.Compare(a.id.Place, b.id.Place), cmp.Compare(a.id.Incarnation, b.id.Incarnation))
+	})
+	for i := range all {
+		all[i].turn = (i + int(now.Unix()/int64(demandTurn/time.Second))) % len(all)
 	}
 	slices.SortFunc(all, func(a, b wish) int {
-		return cmp.Or(cmp.Compare(a.units, b.units), cmp.Compare(a.id.Place, b.id.Place), cmp.Compare(a.id.Incarnation, b.id.Incarnation))
+		return cmp.Or(cmp.Compare(a.units, b.units), cmp.Compare(a.turn, b.turn))
 	})
 	left, own, index := total, 0, -1
 	for i, w := range all {
@@ -291,6 +321,7 @@
 	Sequence  uint64   `cbor:"sequence"`
 	Confirmed uint64   `cbor:"confirmed"`
 	Demand    int      `cbor:"demand"`
+	InUse     int      `cbor:"inUse,omitempty"` // units that the VM can't give back yet
 }
 
 type quotaReply struct {
@@ -310,9 +341,9 @@
 		if !ok {
 			return true
 		}
-		var demand Quota
+		var need Need
 		if n.opts.demand != nil {
-			demand = n.opts.demand(name)
+			need = n.opts.demand(name)
 		}
 		q.nextAsk[name] = now.Add(renewInterval)
 		for _, kind := range quotaKinds {
@@ -321,7 +352,9 @@
 				q.nextAsk[name] = now.Add(acquireInterval)
 			}
 			a := q.parts.Ask(now, key, 0)
-			batches[owner] = append(batches[owner], quotaAsk{key, a.Sequence, q.confirm[key], max(0, demand.units(kind)-q.own(q.contracts[name].units(kind)))})
+			units, inUse := need.units(kind)
+			own := q.own(q.contracts[name].units(kind))
+			batches[owner] = append(batches[owner], quotaAsk{key, a.Sequence, q.confirm[key], max(0, units-own), max(0, inUse-own)})
 			q.confirm[key] = a.Confirmed
 		}
 		return true
@@ -368,7 +401,9 @@
 		q.demands[a.Key] = d
 	}
 	d[who] = demandSeen{a.Demand, now}
-	return q.lender.Lend(now, who, Ask[quotaKey]{Key: a.Key, Sequence: a.Sequence, Confirmed: a.Confirmed, Want: d.target(now, total, who)})
+	// A running request can't be taken back, so its place goes to another VM only when it has ended.
+	want := max(d.target(now, total, who), a.InUse)
+	return q.lender.Lend(now, who, Ask[quotaKey]{Key: a.Key, Sequence: a.Sequence, Confirmed: a.Confirmed, Want: want})
 }
 
 // lendParts answers a VM that asks for parts of customers.
--- a/vm/call.go
+++ b/vm/call.go
@@ -29,7 +29,7 @@
 	if !known || !contract.AllowsService(r.Service) {
 		return nil, v.refused(customer.Refuse(customer.ReasonUnknownService, "service "+r.Service+" is not available under contract "+r.Customer))
 	}
-	admission, refusal := v.limiter.Admit(time.Now(), contract, 0, 0)
+	admission, refusal := v.admit(ctx, contract, 0, 0, time.Until(r.Deadline))
 	if refusal != nil {
 		return nil, v.refused(refusal)
 	}
--- a/vm/configuration.go
+++ b/vm/configuration.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// applyConfiguration derives a view from the newest snapshot and passes the fleet to the node.
+// applyConfiguration derives a view from the newest snapshot and passes the fleet and the customers' quotas to the node.
 func (v *VM) applyConfiguration() {
 	w, err := newView(v.dataCentre, v.store.Snapshot())
 	if err != nil {
@@ -41,6 +41,7 @@
 		return
 	}
 	v.node.SetFleet(w.fleet.Places(), w.fleet.Engines(), w.snapshot.Drained)
+	v.node.SetQuotas(quotas(w.contracts))
 }
 
 // asProblems returns the findings in err, or one finding that has its text.
--- /dev/null
+++ b/vm/parts_test.go
@@ -0,0 +1,74 @@
+package vm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/entry"
+)
+
+const partsContract = `[contract]
+name = team
+weight = 1
+priority = 1
+tokensPerSecond = 1000
+burst = 100000
+concurrent = 2
+longestPrompt = 100000
+models = small
+[keys]
+k = 2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae
+[deadline]
+short = 30s
+medium = 30s
+long = 30s
+veryLong = 30s
+`
+
+// TestNeed guards against a VM that gets no part for what it was asked, keeps one for what it is not asked any more, gives up the
+// place of a running request, or never repays a debt.
+func TestNeed(t *testing.T) {
+	contract, err := customer.ParseContract("contract.ini", []byte(partsContract))
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name     string
+		requests []int // tokens
+		end      bool
+		after    time.Duration
+		want     entry.Need
+		using    bool
+	}{
+		{name: "nothing"},
+		{name: "running", requests: []int{1000}, want: entry.Need{TokensPerSecond: 500, Concurrent: 1, Running: 1}, using: true},
+		{name: "refused for want of places", requests: []int{200, 200, 200, 200}, want: entry.Need{TokensPerSecond: 400, Concurrent: 4, Running: 2}, using: true},
+		{name: "running for long", requests: []int{1000}, after: time.Minute, want: entry.Need{TokensPerSecond: 1, Concurrent: 1, Running: 1}, using: true},
+		{name: "ended", requests: []int{1000}, end: true, after: time.Minute, want: entry.Need{TokensPerSecond: 1}},
+		{name: "debt", requests: []int{80_000}, end: true, after: 10 * time.Second, want: entry.Need{TokensPerSecond: 34_770}, using: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := customer.NewLimiter()
+			p := newParts(l)
+			p.take(start, map[string]entry.Part{"team": {TokensPerSecond: 1000, Burst: 100_000, Concurrent: 2, Expires: start.Add(time.Hour)}})
+			p.observe(start)
+			now := start.Add(time.Second) // the bucket has 1,000 tokens
+			for _, tokens := range test.requests {
+				if a, r := l.Admit(now, contract, tokens, 0); r == nil && test.end {
+					a.End(now, tokens)
+				}
+			}
+			p.observe(now)
+			now = now.Add(test.after)
+			p.take(now, map[string]entry.Part{"team": {TokensPerSecond: 1000, Burst: 100_000, Concurrent: 2, Expires: start.Add(time.Hour)}})
+			using := len(p.observe(now)) > 0
+			if diff := cmp.Diff(test.want, p.need("team")); diff != "" || using != test.using {
+				t.Errorf("in use %v, need (-want +got):\n%s", using, diff)
+			}
+		})
+	}
+}
--- a/vm/route.go
+++ b/vm/route.go
@@ -16,6 +16,7 @@
 func (v *VM) Complete(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
 	v.running.Add(1)
 	defer v.running.Add(-1)
+	arrived := time.Now()
 	w := v.view()
 	contract, ok := w.contracts[c.Customer]
 	if !ok {
@@ -24,14 +25,14 @@
 	if !contract.AllowsModel(c.Model) || !w.hasModel(c.Model) {
 		return v.refused(customer.Refuse(customer.ReasonUnknownModel, "model "+c.Model+" is not available under contract "+c.Customer))
 	}
-	admission, refusal := v.limiter.Admit(time.Now(), contract, c.PromptTokens, c.MaxTokens)
+	admission, refusal := v.admit(ctx, contract, c.PromptTokens, c.MaxTokens, c.FirstToken)
 	if refusal != nil {
 		return v.refused(refusal)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	r := newRelay(sink)
-	err := v.route(ctx, c, r)
+	err := v.route(ctx, c, arrived, r)
 	_, usage, _ := r.outcome()
 	admission.End(time.Now(), usage.PromptTokens+usage.AnswerTokens)
 	if err != nil {
@@ -44,8 +45,7 @@
 
 // route serves a completion in this data centre, and in others where this one cannot take it. While no endpoint's owner can give a
 // grant, for example during a change of owner, the request waits here as long as its first token can still be in time.
-func (v *VM) route(ctx context.Context, c *engine.Completion, r *relay) error {
-	arrived := time.Now()
+func (v *VM) route(ctx context.Context, c *engine.Completion, arrived time.Time, r *relay) error {
 	for round := 1; ; round++ {
 		refusal := v.routeOnce(ctx, v.view(), c, arrived, r)
 		if refusal == nil {
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -51,6 +51,7 @@
 	picker    *service.Picker
 	observer  *observer
 	limiter   *customer.Limiter
+	parts     *parts
 	retries   *customer.RetryBudget
 	backoff   *customer.Backoff
 	estimator *customer.Estimator
@@ -97,7 +98,7 @@
 		policy:      s.Policy(),
 		logger:      log.Log,
 		registry:    metrics.NewRegistry(),
-		limiter:     customer.NewLimiter(customer.WithWholeContracts()),
+		limiter:     customer.NewLimiter(),
 		retries:     customer.NewRetryBudget(),
 		backoff:     customer.NewBackoff(backoffBase, backoffLimit, rand.Float64),
 		estimator:   customer.NewEstimator(),
@@ -110,6 +111,7 @@
 	for _, opt := range opts {
 		opt(v)
 	}
+	v.parts = newParts(v.limiter)
 	v.engines = engine.NewClient(engine.WithIncarnation(v.incarnation))
 	v.counters = newCounters(v.registry)
 	v.ctx, v.cancel = context.WithCancel(context.Background())
@@ -131,11 +133,15 @@
 		return err
 	}
 	v.observer = newObserver(v)
-	v.wg.Add(1)
+	v.wg.Add(2)
 	go func() {
 		defer v.wg.Done()
 		v.followConfiguration()
 	}()
+	go func() {
+		defer v.wg.Done()
+		v.followParts()
+	}()
 	if err := v.startOperator(); err != nil {
 		return err
 	}
@@ -154,7 +160,8 @@
 		Incarnation: v.incarnation,
 		Contacts:    v.settings.PeerContacts(),
 		TLS:         cfg,
-	}, entry.WithSyncer(v.store), entry.WithEndpoints(v.engines), entry.WithLocal(local{v}), entry.WithMetrics(v.registry))
+	}, entry.WithSyncer(v.store), entry.WithEndpoints(v.engines), entry.WithLocal(local{v}), entry.WithMetrics(v.registry),
+		entry.WithDemand(v.parts.need))
 	return errors.Wrap(err, "start peer listener")
 }
 
