engine, caller: Keep small customers' sequences and body memory

Cause: two tests with a flooding customer failed. The ledger compared customers by reserved memory alone, so a flood of short requests that held 15 of 16 sequences stayed ahead of a small customer with one long request. The bound on the memory of request bodies was one for all customers, so one of them could hold all of it.

Change: the queue's order compares the larger of a customer's parts of memory and of sequences. A customer's further requests take body memory only while the customer holds at most as much as is free, so one that floods stops at half; its first request may use all that is free. The queue itself already displaced the customer with most demands for its weight (TestLedgerFairness).

After: 8 of 10 with equal weights and 4 of 10 with a quarter of the weights, and none refused. Command: go test ./engine ./caller -run Flood.

Conclusion: a flooding customer neither holds a small one's sequences nor its body memory.

--- a/caller/body.go
+++ b/caller/body.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"goldcrestpath/customer"
@@ -18,28 +18,55 @@
 )
 
 // memory bounds the bytes of all request bodies together.
+//
+// A customer's further requests take memory only while the customer holds at most as much as is free afterwards. So a customer
+// that floods the VM stops at half of the memory, k of them together at k/(k+1), and other customers find the rest. A fixed
+// part for each customer would leave memory unused that nobody else wants. A customer's only request may use all that is free.
 type memory struct {
 	limit int64
-	used  atomic.Int64
+
+	mu         sync.Mutex
+	used       int64
+	byCustomer map[string]int64
 }
 
+func newMemory(limit int64) memory { return memory{limit: limit, byCustomer: map[string]int64{}} }
+
 // hold is the memory that one request takes.
 type hold struct {
-	memory *memory
-	bytes  int64
+	memory   *memory
+	customer string
+	bytes    int64
+}
+
+func (m *memory) hold(customer string) *hold { return &hold{memory: m, customer: customer} }
+
+// inUse returns the bytes that are held.
+func (m *memory) inUse() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.used
 }
 
 // possible says whether n bytes fit where nothing else is held.
 func (m *memory) possible(n int) bool { return int64(n) <= m.limit }
 
-// resize changes what is held to n bytes, or changes nothing and returns false where the memory is used up.
+// resize changes what is held to n bytes, or changes nothing and returns false where the memory or the customer's part of it
+// is used up.
 func (h *hold) resize(n int) bool {
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	delta := int64(n) - h.bytes
-	if used := h.memory.used.Add(delta); delta > 0 && used > h.memory.limit {
-		h.memory.used.Add(-delta)
+	used, own := m.used+delta, m.byCustomer[h.customer]+delta
+	others := own - int64(n) // what the customer's other requests hold
+	if delta > 0 && (used > m.limit || (others > 0 && own > m.limit-used)) {
 		return false
 	}
-	h.bytes = int64(n)
+	h.bytes, m.used, m.byCustomer[h.customer] = int64(n), used, own
+	if own == 0 {
+		delete(m.byCustomer, h.customer)
+	}
 	return true
 }
 
@@ -111,7 +138,7 @@
 		return customer.Refuse(customer.ReasonTooLarge,
 			fmt.Sprintf("the body needs more than the %d bytes of memory for request bodies", x.server.memory.limit))
 	}
-	return customer.Refuse(customer.ReasonNotReady, "the memory for request bodies is used up",
+	return customer.Refuse(customer.ReasonNotReady, "the memory for request bodies is used up, or the customer's part of it",
 		customer.RetryAfter(memoryRetryAfter))
 }
 
--- a/caller/doc.go
+++ b/caller/doc.go
@@ -10,6 +10,7 @@
 // on once and in order. What follows is kept:
 //   - No answer is delivered as whole without its end mark. A stream that fails ends with an error event and without [DONE].
 //   - A request that is refused before its first text gets the HTTP status of the refusal, streamed or not.
-//   - The memory of all request bodies together, parsing included, stays within one bound.
+//   - The memory of all request bodies together, parsing included, stays within one bound, and no customer's requests take all
+//     of it.
 //   - A caller that reads nothing is cut off after the write timeout, and its request is cancelled.
 package caller
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -24,7 +24,7 @@
 		x.refuse(refusal)
 		return
 	}
-	h := &hold{memory: &x.server.memory}
+	h := x.server.memory.hold(contract.Name())
 	g, c, refusal := x.completion(contract, chat, h)
 	if refusal != nil {
 		h.release()
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -31,7 +31,7 @@
 		x.refuse(refusal)
 		return
 	}
-	h := &hold{memory: &x.server.memory}
+	h := x.server.memory.hold(contract.Name())
 	r, refusal := x.serviceRequest(contract, rest, h)
 	if refusal != nil {
 		h.release()
--- a/caller/server.go
+++ b/caller/server.go
@@ -102,7 +102,7 @@
 		router:       r,
 		log:          log.Log,
 		registry:     metrics.NewRegistry(),
-		memory:       memory{limit: defaultBodyMemory},
+		memory:       newMemory(defaultBodyMemory),
 		bodyLimit:    defaultBodyLimit,
 		readTimeout:  defaultReadTimeout,
 		idleTimeout:  defaultIdleTimeout,
@@ -113,7 +113,7 @@
 		opt(s)
 	}
 	s.counts = newCounts(s.registry)
-	metrics.NewRegisteredFunctionalGauge(metricBodyBytes, s.registry, s.memory.used.Load)
+	metrics.NewRegisteredFunctionalGauge(metricBodyBytes, s.registry, s.memory.inUse)
 	s.base, s.cancel = context.WithCancelCause(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:      s.handle,
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,10 +55,15 @@
 }
 
 func newRouter(t testing.TB) *fakeRouter {
+	t.Helper()
+	return &fakeRouter{contract: contract(t, "deskTeam"), ready: true, complete: chunks(nil, "hello")}
+}
+
+func contract(t testing.TB, name string) *customer.Contract {
 	t.Helper()
 	hash := sha256.Sum256([]byte(apiKey))
-	c, err := customer.ParseContract("deskTeam.ini", []byte(`[contract]
-name = deskTeam
+	c, err := customer.ParseContract(name+".ini", []byte(`[contract]
+name = `+name+`
 weight = 2
 priority = 3
 tokensPerSecond = 4000
@@ -79,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &fakeRouter{contract: c, ready: true, complete: chunks(nil, "hello")}
+	return c
 }
 
 // chunks returns a completion that sends the texts and then the end mark, or err instead of the mark.
@@ -569,6 +575,49 @@
 	}
 }
 
+// A customer that floods the VM with long requests takes the memory that requests of others need.
+func TestFloodLeavesBodyMemory(t *testing.T) {
+	body := `{"model":"small","prompt":"` + strings.Repeat("x", 100<<10) + `"}`
+	for name, memory := range map[string]int{"many fit": 40 * len(body), "few fit": 9 * len(body)} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(t)
+			flood := r.contract.Name()
+			running, release := make(chan bool, 1), make(chan struct{})
+			r.complete = func(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
+				if c.Customer == flood {
+					running <- true
+					<-release
+				}
+				return chunks(nil, "x")(ctx, c, sink)
+			}
+			c := serve(t, r, caller.WithBodyMemory(memory))
+			var flooding sync.WaitGroup
+			for fits := true; fits; fits = <-running { // one after the other, until what they hold leaves no room for a further one
+				req := request(t, "POST", "/v1/completions", body)
+				flooding.Go(func() {
+					resp, err := c.Do(req)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					resp.Body.Close()
+					if resp.StatusCode == 503 {
+						running <- false
+					}
+				})
+			}
+			r.contract = contract(t, "smallTeam")
+			for range 3 {
+				if resp, answer := do(t, c, request(t, "POST", "/v1/completions", body)); resp.StatusCode != 200 {
+					t.Errorf("small customer: %d %s", resp.StatusCode, answer)
+				}
+			}
+			close(release)
+			flooding.Wait()
+		})
+	}
+}
+
 // Text that waits in a buffer for more is late by the time between tokens.
 func TestEventsAreFlushed(t *testing.T) {
 	r := newRouter(t)
--- a/engine/ledger.go
+++ b/engine/ledger.go
@@ -40,6 +40,7 @@
 	heldTokens    int
 	accounts      map[string]*account
 	weights       int                  // sum over accounts
+	dominants     float64              // sum over accounts, as of the last refresh
 	ended         map[string]time.Time // IDs that were freed, so that late messages and reports do not revive them
 	draining      map[string]drain     // failed work that the endpoint may still hold
 	foreign       map[string]StreamReport
--- a/engine/ledger_test.go
+++ b/engine/ledger_test.go
@@ -242,6 +242,57 @@
 	}
 }
 
+// Guards against a flood of short requests that holds the sequences and stays ahead of a small customer's longer ones, because
+// those take more memory.
+func TestLedgerFloodOfShortRequests(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		flood, small         int // prompt tokens
+		floodWeight          int
+		wantSmall, wantFlood int // of the first ten grants after the flood
+	}{
+		{"sequences against memory", 100, 5_000, 1, 8, 2},
+		{"alike", 5_000, 5_000, 1, 8, 2},
+		{"weight of the flood", 100, 5_000, 3, 4, 6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := warm(spec())
+			now := start
+			ask := func(name string, i, tokens, weight int) engine.Decision {
+				d := demand(fmt.Sprint(name, i), tokens)
+				d.Customer, d.Weight, d.Slack, d.MaxWait = name, weight, 10*time.Minute, 10*time.Minute
+				return l.Ask(now, d)
+			}
+			var running []string
+			for i := range 40 {
+				if d, ok := ask("flood", i, c.flood, c.floodWeight).(engine.Granted); ok {
+					running = append(running, d.ID())
+				}
+			}
+			for i := range 10 {
+				ask("small", i, c.small, 1)
+			}
+			granted := map[string]int{}
+			for n := 0; n < 10; {
+				now = now.Add(time.Second)
+				l.Observe(now, engine.Report{Instance: 1, Sequence: uint64(now.Unix())})
+				l.Release(now, running[0], engine.Result{})
+				running = running[1:]
+				for _, d := range l.Next(now) {
+					if g, ok := d.(engine.Granted); ok && n < 10 {
+						n++
+						granted[g.Grant.Demand.Customer]++
+						running = append(running, g.ID())
+					}
+				}
+			}
+			if granted["small"] != c.wantSmall || granted["flood"] != c.wantFlood {
+				t.Errorf("granted %v, want small %d and flood %d", granted, c.wantSmall, c.wantFlood)
+			}
+		})
+	}
+}
+
 // Guards against queued demands that stay although they cannot start in time, and against the loss of a queued one.
 func TestLedgerNext(t *testing.T) {
 	l := warm(spec())
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -45,18 +45,29 @@
 	}
 }
 
-// overShare says whether the customer's reservations exceed its weight's part of all customers' reservations. Customers
-// below their part go first, so that one that floods the endpoint displaces only itself.
+// dominant returns the larger of the customer's parts of memory and of sequences. Memory alone would count a flood of short
+// requests that holds nearly all sequences as small.
+func (l *Ledger) dominant(a *account) float64 {
+	return max(float64(a.tokens)/float64(max(l.capacity, 1)), float64(a.held)/float64(max(l.sequences, 1)))
+}
+
+// overShare says whether what the customer holds exceeds its weight's part of what all customers hold, as of the last refresh.
+// Customers below their part go first, so that one that floods the endpoint displaces only itself.
 func (l *Ledger) overShare(customer string) bool {
+	const rounding = 1 + 1e-9 // equal parts are not over
 	a := l.accounts[customer]
 	if a == nil || len(l.accounts) < 2 {
 		return false
 	}
-	return a.tokens*l.weights > l.heldTokens*a.weight
+	return l.dominant(a)*float64(l.weights) > l.dominants*float64(a.weight)*rounding
 }
 
 // refresh brings the queue's order up to date after reservations have changed.
 func (l *Ledger) refresh() {
+	l.dominants = 0
+	for _, a := range l.accounts {
+		l.dominants += l.dominant(a)
+	}
 	for _, w := range l.queue {
 		w.over = l.overShare(w.demand.Customer)
 	}
