caller: Begin unstreamed answers again and keep the API key

Cause: the relay could begin an answer again only on a sink that resets, and the callers' sink did not, so an answer that is not streamed failed with its engine although nothing of it had reached the caller. The Authorization header with the customer's API key went on to plain services.

Change: the sink resets while it holds the answer back, and then drops chunks of earlier attempts. Authorization is left out of the headers for plain services.

Before: after a crash of the engine within an answer, 502 endpointFailed with mayHaveRun. After: 200 with the whole answer. Command: go test ./vm -run TestWholePath.

Conclusion: a failed endpoint costs an unstreamed answer time only. A request forwarded to another data centre is not begun again there, since its sink does not reset.

--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -25,7 +25,22 @@
 	usage  engine.Usage
 }
 
-var _ engine.Sink = (*delivery)(nil)
+var (
+	_ engine.Sink               = (*delivery)(nil)
+	_ interface{ Reset() bool } = (*delivery)(nil)
+)
+
+// Reset discards the answer so far where the caller has none of it, and reports whether it could. Another endpoint may then
+// begin the answer again; later chunks of the attempts so far are dropped. It is not called while Chunk runs.
+func (d *delivery) Reset() bool {
+	if d.reset == nil || d.ended {
+		return false
+	}
+	d.reset()
+	d.offset, d.rest = 0, ""
+	d.number++
+	return true
+}
 
 // Chunk implements engine.Sink.
 func (d *delivery) Chunk(c engine.Chunk) error {
--- a/caller/doc.go
+++ b/caller/doc.go
@@ -1,7 +1,8 @@
 // Package caller serves the callers' HTTP API.
 //
 // The API is OpenAI-compatible for models (/v1/completions, /v1/chat/completions, /v1/models) and passes calls below
-// /services/{name}/ to plain services byte for byte. An API key selects the customer. Every answer carries a request ID;
+// /services/{name}/ to plain services byte for byte, but for the Authorization header: it has the API key, which a plain
+// service does not get. An API key selects the customer. Every answer carries a request ID;
 // every failure carries a verdict, a reason and, where waiting helps, Retry-After.
 //
 // A [Server] reads a request within its bounds, builds an engine.Completion or a service.Request from it and the contract,
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -108,10 +108,14 @@
 	return strict, nil
 }
 
-// endToEndHeaders returns the request's fields in order, without the hop-by-hop ones.
+// endToEndHeaders returns the request's fields in order, without the hop-by-hop ones and without Authorization: it has the
+// customer's API key, with which a plain service or its log could send requests as the customer.
 func (x *exchange) endToEndHeaders() []service.Header {
 	var headers []service.Header
 	for k, v := range x.ctx.Request.Header.AllInOrder() {
+		if strings.EqualFold(string(k), headerAuthorization) {
+			continue
+		}
 		headers = append(headers, service.Header{Name: string(k), Value: string(v)})
 	}
 	return withoutHopByHop(headers)
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -189,6 +189,7 @@
 		t.Errorf("repeated booking: %d %s, then %d %s, with %d bookings recorded", first, body, second, again, len(s.bookings.All()))
 	}
 	checkLimits(t, s)
+	checkRestart(t, s) // leaves a cold engine behind
 	for _, v := range s.vms {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		if err := v.Shutdown(ctx); err != nil {
@@ -198,6 +199,29 @@
 	}
 }
 
+// checkRestart guards against an answer that is not streamed and fails although another engine could begin it again.
+func checkRestart(t *testing.T, s *site) {
+	generated := func(e *standin.Engine) int { return e.Counters().DecodeTokens }
+	before := []int{generated(s.engines[0]), generated(s.engines[1])}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		status, body := post(t, s.vms[0], "/v1/completions", `{"model":"small","prompt":"hello there","max_tokens":60}`, map[string]string{"X-Request-Id": "restart"})
+		if want := standin.Answer("restart", "small", 60); status != http.StatusOK || !strings.Contains(body, want) {
+			t.Errorf("after the engine's crash: status %d, body %s; want text %q", status, body, want)
+		}
+	})
+	waitFor(t, "part of the answer", func() bool {
+		for i, e := range s.engines {
+			if generated(e) > before[i]+20 {
+				e.Crash()
+				return true
+			}
+		}
+		return false
+	})
+	wg.Wait()
+}
+
 // checkLimits guards against VMs that each enforce the whole contract, and against a VM that refuses a customer's first request
 // because it has no part of the contract yet.
 func checkLimits(t *testing.T, s *site) {
