--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -333,11 +333,13 @@
 	}
 	for _, i := range []int{0, 1, 0} {
 		busy.Store(int32(i))
+		since := time.Now()
 		eventually(t, fmt.Sprintf("VM %d has the place", i+1), func() bool {
 			f.nodes[1-i].Part("team") // a VM that still shows interest and needs nothing
 			p, ok := f.nodes[i].Part("team")
 			return ok && p.Concurrent == 1 && p.TokensPerSecond > 0
 		})
+		t.Logf("VM %d has the place after %v", i+1, time.Since(since))
 	}
 }
 
