vm: Send work elsewhere before waiting for cold endpoints

Cause: after all engines of a data centre crashed, a request waited in the queue for the cold-start allowance, about the engines' restart time, although other data centres had room; one that failed on every engine was not spilled at all. A connection refused while resuming was retried although the process was gone. Change: the path tries this data centre without waiting for cold endpoints or owners, then the others, and waits only then. Idempotent requests spill after endpoint failures within the retry budget. A resume that finds no process ends. The verdict now covers all attempts, forwarded ones included.

--- a/cmd/goldlab/experiment.go
+++ b/cmd/goldlab/experiment.go
@@ -88,7 +88,7 @@
 			&cli.FloatFlag{Name: "seconds", Value: 60, Usage: "length of each load"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals"},
 			&cli.FloatFlag{Name: "load", Value: 0.7, Usage: "load as a part of the engines' capacity"},
-			&cli.StringSliceFlag{Name: "policy", Value: policies, Usage: "policies to run"},
+			&cli.StringSliceFlag{Name: "policy", Usage: "policy to run; may be repeated (default: all)"},
 			&cli.StringFlag{Name: "out", Usage: "directory for the JSON report and SVG plots"},
 		},
 		Action: runExperiment,
--- a/engine/client.go
+++ b/engine/client.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -99,6 +100,9 @@
 	asm := &assembler{attempt: number, sink: sink}
 	started, err := c.connect(ctx, s, fasthttp.MethodPost, "/v1/completions", body, func() error { return c.valid(g) }, asm)
 	for try := 0; err != nil && started && asm.sinkErr == nil && resumable(err) && ctx.Err() == nil && try < resumeTries; {
+		if try > 0 && asm.offset == 0 && errors.Is(err, syscall.ECONNREFUSED) {
+			break // the engine's process is gone, and another endpoint can answer from the start
+		}
 		if try > 0 && !sleep(ctx, resumePause<<(try-1)) {
 			break
 		}
--- a/vm/acquire.go
+++ b/vm/acquire.go
@@ -16,9 +16,9 @@
 }
 
 // acquire gets the grants for one attempt. It asks each candidate's owner for an immediate start and then waits in the queue of the
-// best one. The baseline policies send without grants.
-func (v *VM) acquire(ctx context.Context, c *engine.Completion, n int, arrived time.Time, candidates, specs []engine.Spec) (placement,
-	error) {
+// best one. Without patience it waits only for room, not for cold endpoints or owners. The baseline policies send without grants.
+func (d *delivery) acquire(ctx context.Context, n int, candidates, specs []engine.Spec, patient bool) (placement, error) {
+	v, c, arrived := d.v, d.c, d.arrived
 	if v.policy != engine.PolicyAffinity {
 		return v.ungranted(c, n, candidates[0]), nil
 	}
@@ -30,7 +30,7 @@
 		}
 		refusal = betterRefusal(refusal, customer.AsRefusal(err))
 	}
-	if !waitable(refusal.Reason()) {
+	if !waitable(refusal.Reason()) || (!patient && !full(refusal.Reason())) {
 		return placement{}, refusal
 	}
 	return v.acquireAt(ctx, c, n, arrived, candidates[0], specs, true)
@@ -114,14 +114,12 @@
 
 // waitable says whether waiting in an owner's queue can help after a refusal for this reason.
 func waitable(r customer.Reason) bool {
-	switch r {
-	case customer.ReasonQueueFull, customer.ReasonCold, customer.ReasonShare, customer.ReasonMemory:
-		return true
-	default:
-		return false
-	}
+	return full(r) || r == customer.ReasonCold || r == customer.ReasonShare || r == customer.ReasonNoOwner
 }
 
+// full says whether a refusal for this reason means that running work takes the room.
+func full(r customer.Reason) bool { return r == customer.ReasonQueueFull || r == customer.ReasonMemory }
+
 // betterRefusal returns the refusal that tells more: one that waiting may resolve goes before the others.
 func betterRefusal(a, b *customer.Refusal) *customer.Refusal {
 	if a == nil || (waitable(b.Reason()) && !waitable(a.Reason())) {
--- a/vm/listen.go
+++ b/vm/listen.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -80,7 +79,10 @@
 	}
 	l.v.forwarded.Add(1)
 	defer l.v.forwarded.Add(-1)
-	return l.v.attempts(ctx, w, c, time.Now(), newRelay(sink))
+	if refusal := l.v.newDelivery(c, sink).local(ctx, w, true); refusal != nil {
+		return refusal
+	}
+	return nil
 }
 
 // Call implements service.Caller.
--- a/vm/relay.go
+++ b/vm/relay.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sync"
-	"time"
 
 	"goldcrestpath/customer"
 	"goldcrestpath/engine"
@@ -27,7 +26,6 @@
 	attempt int // only chunks of this attempt pass
 	next    int // offset of the next byte for the sink
 	ended   bool
-	first   time.Time // when the first text was delivered, or zero
 	usage   engine.Usage
 }
 
@@ -44,7 +42,6 @@
 			return nil, 0, false
 		}
 		r.next = 0
-		r.first = time.Time{}
 	}
 	r.attempt++
 	return attemptSink{relay: r, attempt: r.attempt}, r.attempt, true
@@ -83,9 +80,6 @@
 	if err := r.sink.Chunk(c); err != nil {
 		return err
 	}
-	if r.first.IsZero() {
-		r.first = time.Now()
-	}
 	r.next += len(c.Text)
 	r.ended = c.End
 	if c.End {
@@ -94,9 +88,9 @@
 	return nil
 }
 
-// outcome returns what the answer has come to: whether its end mark was delivered, the usage and the time of the first text.
-func (r *relay) outcome() (ended bool, u engine.Usage, first time.Time) {
+// reported returns the usage that the end mark reported, or zero without one.
+func (r *relay) reported() engine.Usage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ended, r.usage, r.first
+	return r.usage
 }
--- a/vm/route.go
+++ b/vm/route.go
@@ -30,32 +30,45 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	r := newRelay(sink)
-	err := v.route(ctx, c, r)
-	_, usage, _ := r.outcome()
+	d := v.newDelivery(c, sink)
+	refusal = d.route(ctx)
+	usage := d.relay.reported()
 	admission.End(time.Now(), usage.PromptTokens+usage.AnswerTokens)
-	if err != nil {
-		return v.refused(explain(ctx, err))
+	if refusal != nil {
+		return v.refused(explain(ctx, refusal))
 	}
 	v.estimator.Observe(c.Model, len(c.Prompt), usage.PromptTokens)
 	v.retries.Earn(time.Now(), c.Customer)
 	return nil
 }
 
-// route serves a completion in this data centre, and in others where this one cannot take it. While no endpoint's owner can give a
+// delivery is one completion on its way through this VM.
+type delivery struct {
+	v       *VM
+	c       *engine.Completion
+	relay   *relay
+	arrived time.Time
+	verdict customer.Verdict // covers all attempts so far
+	retries int              // further attempts after one that failed at an endpoint
+}
+
+func (v *VM) newDelivery(c *engine.Completion, sink engine.Sink) *delivery {
+	return &delivery{v: v, c: c, relay: newRelay(sink), arrived: time.Now(), verdict: customer.NotRun}
+}
+
+// route serves the completion in this data centre, and in others where this one cannot take it. While no endpoint's owner can give a
 // grant, for example during a change of owner, the request waits here as long as its first token can still be in time.
-func (v *VM) route(ctx context.Context, c *engine.Completion, r *relay) error {
-	arrived := time.Now()
+func (d *delivery) route(ctx context.Context) *customer.Refusal {
 	for round := 1; ; round++ {
-		refusal := v.routeOnce(ctx, v.view(), c, arrived, r)
+		refusal := d.round(ctx, d.v.view())
 		if refusal == nil {
 			return nil
 		}
-		pause := v.backoff.Delay(min(round, maxAttempts))
-		if refusal.Verdict() != customer.NotRun || !passing(refusal.Reason()) || !canWait(c, arrived, time.Now().Add(pause)) {
+		pause := d.v.backoff.Delay(min(round, maxAttempts))
+		if refusal.Verdict() != customer.NotRun || !passing(refusal.Reason()) || !canWait(d.c, d.arrived, time.Now().Add(pause)) {
 			return refusal
 		}
-		v.counters.retry(string(refusal.Reason()))
+		d.v.counters.retry(string(refusal.Reason()))
 		if !sleep(ctx, pause) {
 			return refusal
 		}
@@ -72,70 +85,94 @@
 	return t.Before(c.Deadline) && (c.FirstToken <= 0 || t.Before(arrived.Add(c.FirstToken)))
 }
 
-// routeOnce tries this data centre and then the others that report room.
-func (v *VM) routeOnce(ctx context.Context, w *view, c *engine.Completion, arrived time.Time, r *relay) *customer.Refusal {
-	var refusal *customer.Refusal
-	if w.drained(v.dataCentre) {
-		refusal = customer.Refuse(customer.ReasonDrained, "data centre "+v.dataCentre+" is drained")
-	} else {
-		err := v.attempts(ctx, w, c, arrived, r)
-		if err == nil {
-			return nil
-		}
-		refusal = customer.AsRefusal(err)
+// round tries this data centre without waiting for cold endpoints or owners, then the other data centres that report room, and
+// then waits here.
+func (d *delivery) round(ctx context.Context, w *view) *customer.Refusal {
+	if w.drained(d.v.dataCentre) {
+		return d.spill(ctx, w, customer.Refuse(customer.ReasonDrained, "data centre "+d.v.dataCentre+" is drained"))
 	}
-	for _, dc := range spillTargets(refusal, w, v.node.Sites(), c) {
-		if ctx.Err() != nil {
+	refusal := d.local(ctx, w, false)
+	if refusal == nil || !spillable(refusal.Reason()) {
+		return refusal
+	}
+	refusal = d.spill(ctx, w, refusal)
+	if refusal == nil || !waitable(refusal.Reason()) || !d.repeatable() || ctx.Err() != nil {
+		return refusal
+	}
+	return d.local(ctx, w, true)
+}
+
+// repeatable says whether the completion may be sent once more after what happened so far.
+func (d *delivery) repeatable() bool { return d.verdict == customer.NotRun || d.c.Idempotent }
+
+// note adds the outcome of an attempt to the verdict and returns the refusal with the verdict over all attempts.
+func (d *delivery) note(err error) *customer.Refusal {
+	refusal := customer.AsRefusal(err)
+	if refusal.Verdict() == customer.MayHaveRun {
+		d.verdict = customer.MayHaveRun
+	}
+	return withVerdict(refusal, d.verdict)
+}
+
+// spill forwards a completion that this data centre refused. It returns the last refusal.
+func (d *delivery) spill(ctx context.Context, w *view, refusal *customer.Refusal) *customer.Refusal {
+	if !d.repeatable() {
+		return refusal
+	}
+	for _, dc := range spillTargets(refusal.Reason(), w, d.v.node.Sites(), d.c) {
+		if ctx.Err() != nil || !d.repeatable() || !d.spend(refusal) {
 			break
 		}
-		sink, attempt, ok := r.begin()
+		sink, attempt, ok := d.relay.begin()
 		if !ok {
 			break
 		}
-		v.counters.spill(string(refusal.Reason()))
-		v.logger.WithField("requestID", c.ID).WithField("attempt", attempt).Debugf("vm: request forwarded to data centre %s", dc)
-		err := v.node.Complete(ctx, dc, c, sink)
+		d.v.counters.spill(string(refusal.Reason()))
+		forwarded := *d.c
+		forwarded.ID = attemptID(d.c.ID, attempt)
+		err := d.v.node.Complete(ctx, dc, &forwarded, sink)
 		if err == nil {
 			return nil
 		}
-		refusal = customer.AsRefusal(err)
-		if refusal.Verdict() != customer.NotRun {
-			break
-		}
+		refusal = d.note(err)
 	}
 	return refusal
 }
 
-// attempts tries a completion on endpoints of this data centre until one answers it whole. A request that may have run is tried
-// again only if it is idempotent.
-func (v *VM) attempts(ctx context.Context, w *view, c *engine.Completion, arrived time.Time, r *relay) error {
+// spend takes a retry from the budget where the refusal is a failure at an endpoint. A request that no endpoint saw costs nothing.
+func (d *delivery) spend(refusal *customer.Refusal) bool {
+	if !retryable(refusal) {
+		return true
+	}
+	if d.v.retries.Spend(time.Now(), d.c.Customer) {
+		return true
+	}
+	d.v.counters.refusal(string(customer.ReasonRetryBudget))
+	return false
+}
+
+// local tries the completion on endpoints of this data centre until one answers it whole. A request that may have run is tried again
+// only if it is idempotent. With patience it also waits for cold endpoints and for owners.
+func (d *delivery) local(ctx context.Context, w *view, patient bool) *customer.Refusal {
 	tried := make(map[string]bool)
-	verdict := customer.NotRun
 	for {
-		sink, attempt, ok := r.begin()
+		sink, attempt, ok := d.relay.begin()
 		if !ok {
 			return customer.Fail(customer.ReasonEndpointFailed, "the answer broke off after part of it was delivered")
 		}
-		err := v.attempt(ctx, w, c, attempt, arrived, tried, sink)
+		err := d.attempt(ctx, w, attempt, tried, patient, sink)
 		if err == nil {
 			return nil
 		}
-		refusal := customer.AsRefusal(err)
-		if refusal.Verdict() == customer.MayHaveRun {
-			verdict = customer.MayHaveRun
-		}
-		refusal = withVerdict(refusal, verdict)
-		if !retryable(refusal) || (verdict == customer.MayHaveRun && !c.Idempotent) || attempt >= maxAttempts || ctx.Err() != nil {
-			return refusal
-		}
-		if !v.retries.Spend(time.Now(), c.Customer) {
-			v.counters.refusal(string(customer.ReasonRetryBudget))
+		refusal := d.note(err)
+		if !retryable(refusal) || !d.repeatable() || d.retries+1 >= maxAttempts || ctx.Err() != nil || !d.spend(refusal) {
 			return refusal
 		}
-		v.counters.retry(string(refusal.Reason()))
-		if !sleep(ctx, v.backoff.Delay(attempt)) {
+		d.v.counters.retry(string(refusal.Reason()))
+		if !sleep(ctx, d.v.backoff.Delay(d.retries)) {
 			return refusal
 		}
+		d.retries++
 	}
 }
 
@@ -147,7 +184,8 @@
 	return customer.Fail(r.Reason(), r.Message(), customer.RetryAfter(r.RetryAfter()))
 }
 
-// retryable says whether another attempt in this data centre can help. Refusals by admission already weighed every candidate.
+// retryable says whether another attempt can help after a failure at an endpoint. Refusals by admission already weighed every
+// candidate.
 func retryable(r *customer.Refusal) bool {
 	switch r.Reason() {
 	case customer.ReasonEndpointFailed, customer.ReasonEndpointRefused, customer.ReasonGrantExpired:
@@ -158,8 +196,8 @@
 }
 
 // attempt chooses an endpoint, gets a grant for it and sends the completion once.
-func (v *VM) attempt(ctx context.Context, w *view, c *engine.Completion, n int, arrived time.Time, tried map[string]bool,
-	sink engine.Sink) error {
+func (d *delivery) attempt(ctx context.Context, w *view, n int, tried map[string]bool, patient bool, sink engine.Sink) error {
+	v, c := d.v, d.c
 	specs := w.usable(c.Model, tried)
 	if len(specs) == 0 {
 		return customer.Refuse(customer.ReasonNoEndpoint, "no endpoint of model "+c.Model+" is left to try")
@@ -168,7 +206,7 @@
 	if len(candidates) == 0 {
 		return customer.Refuse(customer.ReasonMemory, "no endpoint or group of model "+c.Model+" has enough memory for the request")
 	}
-	p, err := v.acquire(ctx, c, n, arrived, candidates, specs)
+	p, err := d.acquire(ctx, n, candidates, specs, patient)
 	if err != nil {
 		return err
 	}
--- a/vm/spill.go
+++ b/vm/spill.go
@@ -8,11 +8,10 @@
 	"goldcrestpath/entry"
 )
 
-// spillTargets returns the other data centres that may take a completion which this one refused, best first. Only a request that
-// did not run is spilled, and only to a data centre that is reachable, not drained, serves the model and reports room, so that a
-// lost data centre does not overload the next.
-func spillTargets(r *customer.Refusal, w *view, sites []entry.Site, c *engine.Completion) []string {
-	if r.Verdict() != customer.NotRun || !spillable(r.Reason()) {
+// spillTargets returns the other data centres that may take a completion which this one refused, best first. A data centre has to be
+// reachable, in service, serve the model and report room, so that a lost data centre does not overload the next.
+func spillTargets(r customer.Reason, w *view, sites []entry.Site, c *engine.Completion) []string {
+	if !spillable(r) {
 		return nil
 	}
 	var open []entry.Site
@@ -33,7 +32,7 @@
 func spillable(reason customer.Reason) bool {
 	switch reason {
 	case customer.ReasonDrained, customer.ReasonNoEndpoint, customer.ReasonNoOwner, customer.ReasonCold, customer.ReasonShare,
-		customer.ReasonQueueFull, customer.ReasonDeadline, customer.ReasonEndpointRefused:
+		customer.ReasonQueueFull, customer.ReasonDeadline, customer.ReasonEndpointRefused, customer.ReasonEndpointFailed:
 		return true
 	default:
 		return false
