--- a/vm/route.go
+++ b/vm/route.go
@@ -16,6 +16,7 @@
 func (v *VM) Complete(ctx context.Context, c *engine.Completion, sink engine.Sink) error {
 	v.running.Add(1)
 	defer v.running.Add(-1)
+	d := v.newDelivery(c, sink)
 	w := v.view()
 	contract, ok := w.contracts[c.Customer]
 	if !ok {
@@ -24,13 +25,12 @@
 	if !contract.AllowsModel(c.Model) || !w.hasModel(c.Model) {
 		return v.refused(customer.Refuse(customer.ReasonUnknownModel, "model "+c.Model+" is not available under contract "+c.Customer))
 	}
-	admission, refusal := v.limiter.Admit(time.Now(), contract, c.PromptTokens, c.MaxTokens)
+	admission, refusal := v.admit(ctx, contract, c.PromptTokens, c.MaxTokens, c.FirstToken)
 	if refusal != nil {
 		return v.refused(refusal)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	d := v.newDelivery(c, sink)
 	refusal = d.route(ctx)
 	usage := d.relay.reported()
 	admission.End(time.Now(), usage.PromptTokens+usage.AnswerTokens)
