vm: Let a replacement VM lend only when no earlier VM at its place does

vm started entry.Node without WithMayLend. A replacement VM lent one lease after its start, although its predecessor could be only partitioned or paused and go on lending the same shares to another owner.

A VM now registers its run in the log before it lends: a register for each place in platform.State in which the higher incarnation wins, carried by checkpoints and by Export and Import. It lends when the log shows that no run was registered before or that the last one has ended, or when the VM list, as it was after the registration, shows this VM alone at its place ([vm] instance names it in the list). A graceful stop records the end of the run. A VM that reads of a higher incarnation at its place lends and borrows nothing and is not ready.

A first run at its place lends at once when no run of any place was registered under another revision of the fleet document, because the shares then had no other guardians.

--- a/entry/lender.go
+++ b/entry/lender.go
@@ -101,6 +101,10 @@
 	}
 }
 
+// BeginFirst ends the wait after a start. It is called where it became known that no process has lent the same resources
+// before, and before this one has lent any.
+func (l *Lender[K]) BeginFirst(now time.Time) { l.begin(now, OriginFirst) }
+
 func (l *Lender[K]) begin(now time.Time, o Origin) { l.notBefore, l.origin = now, o }
 
 // Wake tells the lender that it runs. It is called far more often than the pause limit. After a longer gap the lender's view
--- a/entry/members.go
+++ b/entry/members.go
@@ -171,8 +171,7 @@
 
 // applySelf refutes what others wrongly believe about this VM.
 func (m *Members) applySelf(u Member) {
-	if u.incarnation > m.self.incarnation {
-		m.superseded = true
+	if m.supersede(u.incarnation) {
 		return
 	}
 	if u.supersedes(m.self) {
@@ -180,6 +179,12 @@
 	}
 }
 
+// supersede notes that a run of this VM's place is known. It returns whether the run has a higher incarnation.
+func (m *Members) supersede(incarnation uint64) bool {
+	m.superseded = m.superseded || incarnation > m.self.incarnation
+	return incarnation > m.self.incarnation
+}
+
 // Failed reports that the VM at a place answered neither a direct nor an indirect probe.
 func (m *Members) Failed(now time.Time, place string) {
 	if k := m.known[place]; k != nil && (k.state == StateAlive || k.state == StateLeaving && now.Sub(k.since) > m.suspicion()) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -86,6 +86,8 @@
 	sites    []Site
 	contacts map[string][]Member // live VMs of other data centres
 	drained  func(string) bool
+
+	superseded bool
 }
 
 type knownLoad struct {
@@ -366,7 +368,7 @@
 // publish replaces the view of readers outside the control goroutine.
 func (n *Node) publish(now time.Time) {
 	n.nextView = now.Add(viewInterval)
-	v := &view{members: n.members.All(), owners: make(map[string]string, len(n.specs)), loads: make(map[string]knownLoad, len(n.loads)), drained: n.drained}
+	v := &view{members: n.members.All(), owners: make(map[string]string, len(n.specs)), loads: make(map[string]knownLoad, len(n.loads)), drained: n.drained, superseded: n.members.Superseded()}
 	for name := range n.specs {
 		if place, ok := n.candidate(endpointResource(name)); ok {
 			v.owners[name] = place
--- a/entry/options.go
+++ b/entry/options.go
@@ -104,6 +104,6 @@
 // Node then lends at once and marks its shares as never lent.
 func WithFirstStart() Option { return func(o *options) { o.firstStart = true } }
 
-// WithMayLend holds back all lending while f is false. A replacement VM gives a function that is true once the VM list shows
-// that the earlier VM at the place is gone. The Node lends one lease after f turned true.
+// WithMayLend holds back all lending while f is false. A VM gives a function that is true once it is known that the earlier
+// VM at the place is gone. The Node lends one lease after f turned true, or at once after BeginFirst.
 func WithMayLend(f func() bool) Option { return func(o *options) { o.mayLend = f } }
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -62,19 +62,51 @@
 		may := n.opts.mayLend()
 		if may && !n.mayLend {
 			n.lender.Suspend(now)
+			n.beginSole(now)
 		}
 		n.mayLend = may
 	}
 }
 
+// beginSole ends the wait of a data centre's only VM.
+func (n *Node) beginSole(now time.Time) {
+	if len(n.local) == 1 && n.local[0] == n.cfg.Place {
+		n.lender.BeginSole(now)
+	}
+}
+
+// BeginFirst tells that no process has lent the shares that this place has among places, which are those of the data centre,
+// and lets this VM lend them at once. The function of WithMayLend was false until now. It does nothing and returns false
+// while other places are applied, because shares can have had other guardians then.
+func (n *Node) BeginFirst(places []string) bool {
+	begun := false
+	n.do(func() {
+		if !slices.Equal(slices.Sorted(slices.Values(places)), n.local) {
+			return
+		}
+		begun, n.mayLend = true, true
+		n.lender.BeginFirst(time.Now())
+	})
+	return begun
+}
+
+// Supersede tells that a run with a higher incarnation has taken this VM's place. This VM then lends and borrows nothing.
+func (n *Node) Supersede(incarnation uint64) {
+	n.do(func() {
+		n.members.supersede(incarnation)
+		n.publish(time.Now())
+	})
+}
+
+// Superseded says whether a run with a higher incarnation has taken this VM's place.
+func (n *Node) Superseded() bool { return n.view.Load().superseded }
+
 // guard sets the shares that this VM lends after a change of places, endpoints or customers. Before holds the former places.
 func (n *Node) guard(now time.Time, before []string) {
 	var wait time.Duration
 	switch {
 	case len(before) == 0: // the wait after the start covers earlier guardians
-		if len(n.local) == 1 && n.local[0] == n.cfg.Place {
-			n.lender.BeginSole(now)
-		}
+		n.beginSole(now)
 	case !slices.Equal(before, n.local):
 		wait = configSpread + ShareTimers().LenderLease
 	}
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -29,6 +29,7 @@
 	file           string
 	place          string
 	dataCentre     string
+	instance       string
 	stopDelay      time.Duration
 	callerListen   string
 	bodyLimit      int
@@ -74,6 +75,7 @@
 	vm := f.section("vm")
 	s.place = vm.ident("place", true)
 	s.dataCentre = vm.ident("dataCentre", true)
+	s.instance = vm.ident("instance", false)
 	s.stopDelay = vm.duration("stopDelay", 0, time.Hour, defaultStopDelay)
 
 	caller := f.section("caller")
@@ -156,6 +158,9 @@
 // DataCentre returns the VM's data centre.
 func (s *Settings) DataCentre() string { return s.dataCentre }
 
+// Instance returns the name that the platform's VM list gives this VM, or "".
+func (s *Settings) Instance() string { return s.instance }
+
 // StopDelay returns how long the callers' listener stays open after readiness is off, for the load balancer.
 func (s *Settings) StopDelay() time.Duration { return s.stopDelay }
 
--- a/vm/configuration.go
+++ b/vm/configuration.go
@@ -37,10 +37,12 @@
 		w.keepFleet(old)
 	}
 	v.current.Store(w)
+	v.checkPlace(w.snapshot)
 	if w.fleet == nil {
 		return
 	}
 	v.node.SetFleet(w.fleet.Places(), w.fleet.Engines(), w.snapshot.Drained)
+	v.fleetApplied.Store(w.revision)
 }
 
 // asProblems returns the findings in err, or one finding that has its text.
--- /dev/null
+++ b/vm/places_rule_test.go
@@ -0,0 +1,50 @@
+package vm
+
+import (
+	"testing"
+	"time"
+
+	"goldcrestpath/platform"
+)
+
+// TestPlaceRule guards against a VM that lends while an earlier one at its place may lend the same shares.
+func TestPlaceRule(t *testing.T) {
+	registered := time.Unix(1_700_000_000, 0)
+	list := func(instances ...string) []platform.ListedVM {
+		vms := []platform.ListedVM{{Place: "a/2", Instance: "other place"}}
+		for _, i := range instances {
+			vms = append(vms, platform.ListedVM{Place: "a/1", Instance: i, State: platform.VMLeaving})
+		}
+		return vms
+	}
+	own, unnamed := placeRule{place: "a/1", instance: "new", registered: registered}, placeRule{place: "a/1", registered: registered}
+	tests := []struct {
+		name  string
+		rule  placeRule
+		after time.Duration // of the read, after the registration
+		age   time.Duration
+		vms   []platform.ListedVM
+		want  bool
+	}{
+		{"not registered", placeRule{place: "a/1", instance: "new", clear: true, noList: true}, time.Minute, 0, list("new"), false},
+		{"nobody before, by the log", placeRule{place: "a/1", registered: registered, clear: true}, 0, 0, list("old"), true},
+		{"no list in the settings", placeRule{place: "a/1", registered: registered, noList: true}, 0, 0, nil, true},
+		{"alone", own, time.Minute, 5 * time.Second, list("new"), true},
+		{"the earlier VM is leaving", own, time.Minute, 0, list("new", "old"), false},
+		{"only the earlier VM is listed", own, time.Minute, 0, list("old"), false},
+		{"this VM is not listed yet", own, time.Minute, 0, list(), false},
+		{"the list is older than the registration", own, 4 * time.Second, 5 * time.Second, list("new"), false},
+		{"the list is as old as the registration", own, 5 * time.Second, 5 * time.Second, list("new"), false},
+		{"one without a name", unnamed, time.Minute, 0, list("any"), true},
+		{"two without a name", unnamed, time.Minute, 0, list("any", "more"), false},
+		{"the same instance twice", own, time.Minute, 0, list("new", "new"), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.rule.observe(registered.Add(test.after), platform.VMs{VMs: test.vms, Age: test.age})
+			if got := test.rule.mayLend(); got != test.want {
+				t.Errorf("may lend: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/vm/ready.go
+++ b/vm/ready.go
@@ -7,10 +7,11 @@
 const ownerWait = 10 * time.Second
 
 // Ready implements caller.Router. A VM is ready once it has a fleet document and knows an owner of an endpoint that it can send to,
-// and until it is drained or stops.
+// and until it is drained, stops or another VM
+// has taken its place.
 func (v *VM) Ready() bool {
 	w := v.view()
-	if w.fleet == nil || v.stopping.Load() || w.snapshot.Drained(targetVM(v.place)) {
+	if w.fleet == nil || v.stopping.Load() || w.snapshot.Drained(targetVM(v.place)) || v.node.Superseded() {
 		return false
 	}
 	if v.served.Load() {
--- a/vm/stop.go
+++ b/vm/stop.go
@@ -17,6 +17,7 @@
 		err = e
 	}
 	v.pool.StopAndWait()
+	v.endPlace(ctx)
 	v.Close()
 	v.logger.Info("vm: stopped")
 	return err
--- a/vm/view.go
+++ b/vm/view.go
@@ -15,6 +15,7 @@
 	dataCentre string // this VM's data centre
 	snapshot   *platform.Snapshot
 	fleet      *operator.Fleet
+	revision   uint64 // of the fleet document
 	book       *customer.Book
 	contracts  map[string]*customer.Contract
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		return asProblems(d.Name, err)
 	}
-	w.fleet = fleet
+	w.fleet, w.revision = fleet, d.Revision
 	for _, s := range fleet.Engines() {
 		if w.models[s.DataCentre] == nil {
 			w.models[s.DataCentre] = make(map[string]bool)
@@ -191,6 +192,6 @@
 
 // keepFleet takes over the fleet of an earlier view, where the newer document does not parse.
 func (w *view) keepFleet(old *view) {
-	w.fleet, w.engines, w.services, w.models, w.offers = old.fleet, old.engines, old.services, old.models, old.offers
+	w.fleet, w.revision, w.engines, w.services, w.models, w.offers = old.fleet, old.revision, old.engines, old.services, old.models, old.offers
 	w.selectInService()
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -60,6 +60,11 @@
 	operators      *operator.Server
 	operatorListen net.Listener
 
+	vmList       *platform.VMList
+	run          atomic.Pointer[platform.PlaceRun] // this run, once it may lend
+	lending      atomic.Bool                       // no earlier VM at the place lends
+	fleetApplied atomic.Uint64                     // newest revision of the fleet document that the node has applied
+
 	current   atomic.Pointer[view]
 	started   time.Time
 	served    atomic.Bool // has been ready
@@ -125,12 +130,14 @@
 func (v *VM) start() error {
 	v.store = platform.NewStore(platform.NewHTTPLog(v.settings.LogAddress()),
 		platform.WithClaimRetention(v.settings.ClaimRetention()), platform.WithLogger(v.logger))
+	v.vmList = platform.NewVMList(v.settings.VMListAddress())
 	empty, _ := newView(v.dataCentre, v.store.Snapshot())
 	v.current.Store(empty)
 	if err := v.startPeer(); err != nil {
 		return err
 	}
 	v.observer = newObserver(v)
+	v.wg.Go(v.followPlace)
 	v.wg.Add(1)
 	go func() {
 		defer v.wg.Done()
@@ -154,7 +161,7 @@
 		Incarnation: v.incarnation,
 		Contacts:    v.settings.PeerContacts(),
 		TLS:         cfg,
-	}, entry.WithSyncer(v.store), entry.WithEndpoints(v.engines), entry.WithLocal(local{v}), entry.WithMetrics(v.registry))
+	}, entry.WithSyncer(v.store), entry.WithEndpoints(v.engines), entry.WithLocal(local{v}), entry.WithMetrics(v.registry), entry.WithMayLend(v.lending.Load))
 	return errors.Wrap(err, "start peer listener")
 }
 
@@ -173,6 +180,9 @@
 	return 1
 }
 
+// Lending says whether this VM may lend shares: no earlier VM at its place does, and no later one has taken the place.
+func (v *VM) Lending() bool { return v.lending.Load() && !v.node.Superseded() }
+
 // warn logs the failure of a background task.
 func (v *VM) warn(task string, err error) {
 	if err != nil && v.ctx.Err() == nil {
