vm: Issue orders to engines that differ from the fleet document

Nothing issued orders: engine.Orderer was not wired, and an engine that served another model than configured got grants all the same.

engine.Spec and the [engine NAME] section get version, adapters, role and weightBytes (the weight store needs a size; 1 GiB where the document names none). The VM that holds a majority of an engine's shares compares each load report with the document and orders what differs: loadModel alone, otherwise setVersion, loadAdapter and setRole. A ledger grants nothing while the report shows another model.

The orderer takes the fencing token before it reserves a download, so that a log outage reserves none, and a change of rank no longer withdraws an order in progress.

TestProblems names the new keys in the list of allowed ones.

--- a/engine/ledger.go
+++ b/engine/ledger.go
@@ -46,6 +46,7 @@
 	foreignTokens int
 
 	reported            bool
+	otherModel          string // that the endpoint serves in place of the configured one, or ""
 	instance, sequence  uint64
 	retired             uint64    // the instance before the last restart
 	sampled             time.Time // time that the last report describes
@@ -125,7 +126,7 @@
 func (l *Ledger) slots() int { return l.part(l.sequences) }
 
 func (l *Ledger) part(n int) int {
-	if l.total <= 0 || l.usable <= 0 {
+	if l.total <= 0 || l.usable <= 0 || l.otherModel != "" {
 		return 0
 	}
 	return n * min(l.usable, l.total) / l.total
@@ -213,6 +214,8 @@
 		return customer.ReasonShare, true, l.spec.Name + " has not reported to its owner yet"
 	case l.now.Sub(l.sampled) > maxReportSilence:
 		return customer.ReasonNoEndpoint, true, fmt.Sprintf("%s has not reported for %v", l.spec.Name, l.now.Sub(l.sampled))
+	case l.otherModel != "":
+		return customer.ReasonNoEndpoint, true, fmt.Sprintf("%s serves model %s in place of %s", l.spec.Name, l.otherModel, l.spec.Model)
 	case l.slots() == 0:
 		return customer.ReasonShare, true, "the owner holds no share of " + l.spec.Name
 	case d.Tokens() > l.usableTokens():
--- a/engine/ledger_test.go
+++ b/engine/ledger_test.go
@@ -73,6 +73,17 @@
 			l.Observe(start, engine.Report{Instance: 1, Age: 10 * time.Second})
 			return l
 		}, ask: demand("x", 100), want: "noEndpoint"},
+		{name: "another model than configured", ledger: func() *engine.Ledger {
+			l := warm(spec())
+			l.Observe(start, engine.Report{Instance: 1, Sequence: 2, Model: "other"})
+			return l
+		}, ask: waits(demand("x", 100)), want: "noEndpoint"},
+		{name: "the configured model again", ledger: func() *engine.Ledger {
+			l := warm(spec())
+			l.Observe(start, engine.Report{Instance: 1, Sequence: 2, Model: "other"})
+			l.Observe(start, engine.Report{Instance: 1, Sequence: 3, Model: "small"})
+			return l
+		}, ask: demand("x", 100), want: "granted"},
 		{name: "no share", ledger: func() *engine.Ledger { l := warm(spec()); l.SetShares(start, 0, 3); return l }, ask: demand("x", 100), want: "share"},
 		{name: "half of the memory with one share", ledger: func() *engine.Ledger { l := warm(spec()); l.SetShares(start, 1, 3); return l }, ask: demand("x", 50_000), want: "share"},
 		{name: "most of the memory with two shares", ledger: func() *engine.Ledger { l := warm(spec()); l.SetShares(start, 2, 3); return l }, ask: demand("x", 60_000), want: "granted"},
--- a/engine/observe.go
+++ b/engine/observe.go
@@ -22,6 +22,10 @@
 		l.retired = l.instance
 	}
 	l.reported, l.instance, l.sequence, l.sampled = true, r.Instance, r.Sequence, sampled
+	l.otherModel = ""
+	if r.Model != "" && r.Model != l.spec.Model {
+		l.otherModel = r.Model
+	}
 	l.capacity, l.sequences = smaller(l.spec.KVTokens, r.KVTokens), smaller(l.spec.Sequences, r.Sequences)
 	if restarted {
 		l.allow.reset()
--- a/engine/orderer.go
+++ b/engine/orderer.go
@@ -73,8 +73,8 @@
 // Put adds a need. It replaces an earlier one for the same endpoint, kind and adapter. The delay after failures stays
 // where the order is the same.
 func (p *OrderPlan) Put(n Need) {
-	if q := p.needs[keyOf(n)]; q != nil && q.need.Order == n.Order && q.need.Owned.Equal(n.Owned) {
-		q.need = n
+	if p.has(n) {
+		p.needs[keyOf(n)].need = n
 		return
 	}
 	q := &planned{need: n}
@@ -121,7 +121,8 @@
 // has says whether n is still needed in this form.
 func (p *OrderPlan) has(n Need) bool {
 	q := p.needs[keyOf(n)]
-	return q != nil && q.need == n
+	// A change of rank leaves the order that is being issued as it is.
+	return q != nil && q.need.Spec == n.Spec && q.need.Order == n.Order && q.need.Owned.Equal(n.Owned)
 }
 
 // Done removes a need that was met. A need that replaced it meanwhile stays.
@@ -262,6 +263,11 @@
 
 // issue sends one order.
 func (o *Orderer) issue(ctx context.Context, n Need) error {
+	// The token comes first, so that an order without one reserves no download.
+	fence, err := o.fence(ctx, n)
+	if err != nil {
+		return errors.WithMessage(err, "fencing token")
+	}
 	if n.Bytes > 0 {
 		wait, err := o.store.Reserve(ctx, n.Order.Model, n.Bytes)
 		if err != nil {
@@ -271,10 +277,6 @@
 			return ctx.Err()
 		}
 	}
-	fence, err := o.fence(ctx, n)
-	if err != nil {
-		return errors.WithMessage(err, "fencing token")
-	}
 	o.mu.Lock()
 	current := o.plan.has(n)
 	o.mu.Unlock()
--- a/engine/orderer_test.go
+++ b/engine/orderer_test.go
@@ -91,3 +91,26 @@
 		})
 	}
 }
+
+// Guards against orders that an endpoint does not need, that are missing, or that a load of another model would undo.
+func TestNeeds(t *testing.T) {
+	s := engine.Spec{Model: "m", Version: "2", Adapters: "a,b", Role: "prefill"}
+	for _, c := range []struct {
+		name   string
+		spec   engine.Spec
+		report engine.Report
+		want   []engine.Order
+	}{
+		{"as configured", s, engine.Report{Model: "m", Version: "2", Adapters: []string{"b", "a", "c"}, Role: "prefill"}, nil},
+		{"nothing but a model configured", engine.Spec{Model: "m"}, engine.Report{Model: "m", Version: "1", Role: "mixed"}, nil},
+		{"another model", s, engine.Report{Model: "n", Version: "1"}, []engine.Order{{Kind: engine.OrderLoadModel, Model: "m", Version: "2"}}},
+		{"everything else differs", s, engine.Report{Model: "m", Version: "1", Adapters: []string{"a"}, Role: "mixed"}, []engine.Order{
+			{Kind: engine.OrderSetVersion, Model: "m", Version: "2"}, {Kind: engine.OrderLoadAdapter, Model: "m", Adapter: "b"}, {Kind: engine.OrderSetRole, Role: "prefill"}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, engine.Needs(c.spec, c.report)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/engine/spec.go
+++ b/engine/spec.go
@@ -13,4 +13,8 @@
 	ColdSequences int     // sequences that the endpoint bears when cold
 	ChecksFence   bool    // refuses orders with an old fencing number
 	Group         string  // group of engines that can hold one prompt together, or ""
+	Version       string  // version of the model, or "" for any
+	Adapters      string  // adapters to load, separated by commas; a string keeps Spec comparable
+	Role          string  // role, or "" for any
+	WeightBytes   int     // size of the model's weights, for the weight store
 }
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -28,6 +28,7 @@
 type owned struct {
 	spec     engine.Spec
 	ledger   Ledger
+	tenure   time.Time // since when this VM has held a majority of the shares, zero where it does not
 	observed time.Time // when the newest report was asked for
 	ready    bool      // there was a report
 	polling  bool
@@ -99,6 +100,14 @@
 			n.respec(now, o, spec)
 		}
 	}
+	for _, o := range n.owned {
+		// Before the shares are asked for again, so that a lease that lapsed during a pause ends the tenure.
+		if !n.majority(now, o) {
+			o.tenure = time.Time{}
+		} else if o.tenure.IsZero() {
+			o.tenure = now
+		}
+	}
 	n.borrow(now, n.borrower, resources)
 	for _, o := range n.owned {
 		n.poll(now, o)
@@ -178,6 +187,29 @@
 	return sum
 }
 
+// majority says whether this VM holds a majority of the endpoint's shares. At most one VM does at a time.
+func (n *Node) majority(now time.Time, o *owned) bool {
+	held := 0
+	for i := range Shares {
+		held += n.borrower.Held(now, shareKey{endpointResource(o.spec.Name), i})
+	}
+	return 2*held > Shares
+}
+
+// Tenures returns the endpoints of which this VM holds a majority of the shares, and since when it has held one.
+func (n *Node) Tenures() map[string]time.Time {
+	tenures := map[string]time.Time{}
+	n.do(func() {
+		now := time.Now()
+		for name, o := range n.owned {
+			if !o.tenure.IsZero() && n.majority(now, o) {
+				tenures[name] = o.tenure
+			}
+		}
+	})
+	return tenures
+}
+
 // sharesComing says whether the owner can expect more usable shares soon: one is held and waits, or its guardian lives.
 func (n *Node) sharesComing(now time.Time, o *owned) bool {
 	resource := endpointResource(o.spec.Name)
--- a/operator/files_test.go
+++ b/operator/files_test.go
@@ -33,6 +33,7 @@
 	wantEngine := engine.Spec{
 		Name: "small-a1", DataCentre: "jm-a", Address: "127.0.0.1:7101", Model: "small", KVTokens: 400000, Sequences: 64,
 		PrefillRate: 20000, DecodeRate: 60, ColdSequences: 2, ChecksFence: true, Group: "wide-a",
+		Version: "1", Adapters: "summary,translation", Role: "mixed", WeightBytes: 16_000_000_000,
 	}
 	wantService := service.Spec{
 		Name: "booking-a1", Service: "booking", DataCentre: "jm-a", Address: "127.0.0.1:7201", Concurrent: 16,
@@ -91,11 +92,17 @@
 			{"peer", "listen", "", allowedAddress},
 			{"platform", "log", "", allowedAddress},
 		}},
+		{"what an engine is to serve", fleet, site + "[engine e]\naddress = 10.0.0.1:1\n" + anEngine + "version = 1 2\nadapters = x, x\nrole = /\nweightBytes = 0\n", []want{
+			{"engine e", "version", "1 2", allowedName},
+			{"engine e", "role", "/", allowedName},
+			{"engine e", "adapters", "x, x", "names separated by commas, each once"},
+			{"engine e", "weightBytes", "0", "a whole number from 1 to 1125899906842624"},
+		}},
 		{"engine fields", fleet, site + "[engine e]\naddress = 10.0.0.1:1\ndataCentre = b\nmodel = m\nkvTokens = -1\nsequences = 2\nprefillRate = NaN\ndecodeRate = 5\nchecksFence = yes\nkvtokens = 3\n", []want{
 			{"engine e", "kvTokens", "-1", allowedNumber},
 			{"engine e", "prefillRate", "NaN", "a number above 0 and up to 1e9"},
 			{"engine e", "checksFence", "yes", "true or false"},
-			{"engine e", "kvtokens", "3", "the keys dataCentre, address, model, kvTokens, sequences, prefillRate, decodeRate, coldSequences, checksFence, group"},
+			{"engine e", "kvtokens", "3", "the keys dataCentre, address, model, kvTokens, sequences, prefillRate, decodeRate, coldSequences, checksFence, group, version, role, adapters, weightBytes"},
 			{"engine e", "dataCentre", "b", "the name of a [dataCentre NAME] section of this file"},
 		}},
 		{"two endpoints at one address", fleet, site + "[engine e]\naddress = 10.0.0.1:1\n" + anEngine + "[vm a/1]\ndataCentre = a\naddress = 10.0.0.1:1\n", []want{
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -13,6 +13,12 @@
 // maxTokens bounds memory sizes in tokens, far above any engine.
 const maxTokens = 1_000_000_000
 
+// Bounds of the size of a model's weights. The weight store needs a size with each reservation.
+const (
+	defaultWeightBytes = 1 << 30
+	maxWeightBytes     = 1 << 50
+)
+
 // defaultServiceBody is the longest request body of a service that sets none.
 const defaultServiceBody = 1 << 20
 
@@ -155,6 +161,9 @@
 	spec.ColdSequences = s.count("coldSequences", 1, max(1, spec.Sequences), false, 1)
 	spec.ChecksFence = s.flag("checksFence")
 	spec.Group = s.ident("group", false)
+	spec.Version, spec.Role = s.ident("version", false), s.ident("role", false)
+	spec.Adapters = strings.Join(parse(s, "adapters", "names separated by commas, each once", false, nil, distinctNames), ",")
+	spec.WeightBytes = s.count("weightBytes", 1, maxWeightBytes, false, defaultWeightBytes)
 	p.fleet.engines = append(p.fleet.engines, spec)
 }
 
@@ -178,15 +187,21 @@
 	return ok && method != "" && strings.ToUpper(method) == method && strings.HasPrefix(path, "/") && !strings.Contains(path, " ")
 }
 
+// distinctNames reads names separated by commas, each of which stands once.
+func distinctNames(v string) ([]string, bool) {
+	list := splitList(v)
+	for i, name := range list {
+		if !validName(name) || slices.Contains(list[:i], name) {
+			return nil, false
+		}
+	}
+	return list, true
+}
+
 func (p *fleetParser) group(s *iniSection, name string) {
 	members := parse(s, "members", "at least two engine names separated by commas, each once", true, nil, func(v string) ([]string, bool) {
-		list := splitList(v)
-		for i, m := range list {
-			if !validName(m) || slices.Contains(list[:i], m) {
-				return nil, false
-			}
-		}
-		return list, len(list) >= 2
+		list, ok := distinctNames(v)
+		return list, ok && len(list) >= 2
 	})
 	p.fleet.groups = append(p.fleet.groups, Group{Name: name, Members: members})
 }
--- /dev/null
+++ b/vm/orders_test.go
@@ -0,0 +1,105 @@
+package vm_test
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"goldcrestpath/engine"
+	"goldcrestpath/platform"
+	"goldcrestpath/standin"
+)
+
+// TestFleetChangeLoadsOnce guards against engines that keep serving an old model after a change of the fleet document, against a
+// load that is repeated while its effect is to come, and against loads that the weight store does not know of.
+func TestFleetChangeLoadsOnce(t *testing.T) {
+	weights, err := standin.NewWeightStore("127.0.0.1:0", 1e9, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(weights.Close)
+	s := newSite(t, 2, "weightStore = "+weights.Address())
+	s.publish(t, "fleet", 1, strings.ReplaceAll(s.fleet, "model = small", "model = big\nadapters = x\nweightBytes = 1000"))
+	client := engine.NewClient()
+	reported := func(e *standin.Engine) engine.Report {
+		r, _ := client.Report(t.Context(), engine.Spec{Name: "e", Address: e.Address()})
+		return r
+	}
+	for _, e := range s.engines {
+		waitFor(t, "engine with the new model and its adapter", func() bool {
+			r := reported(e)
+			return r.Model == "big" && len(r.Adapters) == 1
+		})
+	}
+	// Reports lag, so a repeated order shows up only after some further comparisons.
+	for range 4 {
+		time.Sleep(500 * time.Millisecond)
+		for i, e := range s.engines {
+			if c := e.Counters(); c.Orders != 2 || c.StaleOrders+c.OldFences != 0 {
+				t.Fatalf("engine %d: %+v, want one load and one adapter", i, c)
+			}
+		}
+	}
+	if accepted, refused := weights.Reservations(); accepted != 2 || refused != 0 {
+		t.Errorf("weight store: %d reservations and %d refused, want one for each engine", accepted, refused)
+	}
+}
+
+// lateSender holds one order back until it is released, as a slow connection or a paused VM does. It sends no second one.
+type lateSender struct {
+	engine.OrderSender
+	calls            atomic.Int32
+	reached, release chan struct{}
+}
+
+func (l *lateSender) Order(ctx context.Context, s engine.Spec, o engine.Order) error {
+	if l.calls.Add(1) > 1 {
+		return errors.New("not sent")
+	}
+	close(l.reached)
+	<-l.release
+	return l.OrderSender.Order(ctx, s, o)
+}
+
+// TestLateOrderOfOldOwner guards against an order of an earlier owner that undoes one of its successor.
+func TestLateOrderOfOldOwner(t *testing.T) {
+	log, err := standin.NewLog("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(log.Close)
+	e, err := standin.NewEngine("127.0.0.1:0", standin.DefaultEngineConfig("e", "small"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	client := engine.NewClient()
+	spec := engine.Spec{Name: "e", Address: e.Address(), ChecksFence: true}
+	issue := func(sender engine.OrderSender, role string) <-chan error {
+		store := platform.NewStore(platform.NewHTTPLog(log.Address()))
+		t.Cleanup(store.Close)
+		ended := make(chan error, 10)
+		waitFor(t, "readable log", store.LogReachable)
+		o := engine.NewOrderer(sender, store, nil, engine.WithOrderReport(func(_ engine.Need, err error) { ended <- err }))
+		t.Cleanup(o.Close)
+		o.Put(engine.Need{Spec: spec, Order: engine.Order{Kind: engine.OrderSetRole, Role: role}, Owned: time.Now()})
+		return ended
+	}
+	late := &lateSender{OrderSender: client, reached: make(chan struct{}), release: make(chan struct{})}
+	old := issue(late, "prefill")
+	<-late.reached
+	if err := <-issue(client, "decode"); err != nil {
+		t.Fatalf("order of the new owner: %v", err)
+	}
+	close(late.release)
+	if err := <-old; err == nil {
+		t.Error("the engine accepted the late order")
+	}
+	if c := e.Counters(); c.Orders != 1 || c.OldFences != 1 || c.StaleOrders != 0 {
+		t.Errorf("engine: %+v, want one order and one refused for its token", c)
+	}
+}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -61,6 +61,8 @@
 	operatorListen net.Listener
 
 	vmList       *platform.VMList
+	weights      *platform.WeightStore
+	orders       *orders
 	run          atomic.Pointer[platform.PlaceRun] // this run, once it may lend
 	lending      atomic.Bool                       // no earlier VM at the place lends
 	fleetApplied atomic.Uint64                     // newest revision of the fleet document that the node has applied
@@ -130,6 +132,8 @@
 func (v *VM) start() error {
 	v.store = platform.NewStore(platform.NewHTTPLog(v.settings.LogAddress()),
 		platform.WithClaimRetention(v.settings.ClaimRetention()), platform.WithLogger(v.logger))
+	v.weights = platform.NewWeightStore(v.settings.WeightStoreAddress())
+	v.orders = newOrders(v)
 	v.vmList = platform.NewVMList(v.settings.VMListAddress())
 	empty, _ := newView(v.dataCentre, v.store.Snapshot())
 	v.current.Store(empty)
@@ -138,6 +142,7 @@
 	}
 	v.observer = newObserver(v)
 	v.wg.Go(v.followPlace)
+	v.wg.Go(func() { v.orders.run(v.ctx) })
 	v.wg.Add(1)
 	go func() {
 		defer v.wg.Done()
@@ -161,7 +166,7 @@
 		Incarnation: v.incarnation,
 		Contacts:    v.settings.PeerContacts(),
 		TLS:         cfg,
-	}, entry.WithSyncer(v.store), entry.WithEndpoints(v.engines), entry.WithLocal(local{v}), entry.WithMetrics(v.registry), entry.WithMayLend(v.lending.Load))
+	}, entry.WithSyncer(v.store), entry.WithEndpoints(v.orders), entry.WithLocal(local{v}), entry.WithMetrics(v.registry), entry.WithMayLend(v.lending.Load))
 	return errors.Wrap(err, "start peer listener")
 }
 
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -28,6 +28,7 @@
 	engines  []*standin.Engine
 	bookings *standin.Bookings
 	vms      []*vm.VM
+	fleet    string
 }
 
 func freeAddress(t *testing.T) string {
@@ -39,8 +40,8 @@
 	return address
 }
 
-// newSite starts a site with n VMs and waits until all are ready.
-func newSite(t *testing.T, n int) *site {
+// newSite starts a site with n VMs, with further lines of the section [platform], and waits until all are ready.
+func newSite(t *testing.T, n int, platformLines ...string) *site {
 	t.Helper()
 	s := &site{bookings: standin.NewBookings()}
 	var err error
@@ -76,10 +77,11 @@
 	contract := "[contract]\nname = team\nweight = 1\npriority = 1\ntokensPerSecond = 100000\nburst = 5000000\nconcurrent = 50\n" +
 		"longestPrompt = 1000000\nmodels = small\nservices = booking\n[keys]\nk = " + hex.EncodeToString(sum[:]) +
 		"\n[firstToken]\nshort = 20s\nmedium = 20s\nlong = 60s\nveryLong = 5m\n[deadline]\nshort = 60s\nmedium = 60s\nlong = 2m\nveryLong = 10m\n"
-	s.publish(t, "fleet", fleet.String())
-	s.publish(t, "contract/team", contract)
+	s.fleet = fleet.String()
+	s.publish(t, "fleet", 0, s.fleet)
+	s.publish(t, "contract/team", 0, contract)
 	for i := range n {
-		s.vms = append(s.vms, startVM(t, fmt.Sprintf("a/%d", i+1), peers[i], s.log.Address(), peers))
+		s.vms = append(s.vms, startVM(t, fmt.Sprintf("a/%d", i+1), peers[i], strings.Join(append([]string{s.log.Address()}, platformLines...), "\n"), peers))
 	}
 	for _, v := range s.vms {
 		waitFor(t, "readiness of every VM", v.Ready)
@@ -87,14 +89,14 @@
 	return s
 }
 
-func (s *site) publish(t *testing.T, document, content string) {
+func (s *site) publish(t *testing.T, document string, base uint64, content string) {
 	t.Helper()
 	store := platform.NewStore(platform.NewHTTPLog(s.log.Address()))
 	defer store.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	for {
-		if _, err := store.Publish(ctx, document, 0, []byte(content)); err == nil {
+		if _, err := store.Publish(ctx, document, base, []byte(content)); err == nil {
 			return
 		} else if ctx.Err() != nil {
 			t.Fatal(err)
