--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -41,6 +41,7 @@
 	engines  []*standin.Engine
 	bookings *standin.Bookings
 	vms      []*vm.VM
+	fleet    string
 }
 
 func freeAddress(t *testing.T) string {
@@ -52,8 +53,8 @@
 	return address
 }
 
-// newSite starts a site with n VMs and waits until all are ready.
-func newSite(t *testing.T, n int) *site {
+// newSite starts a site with n VMs, with further lines of the section [platform], and waits until all are ready.
+func newSite(t *testing.T, n int, platformLines ...string) *site {
 	t.Helper()
 	s := &site{bookings: standin.NewBookings()}
 	var err error
@@ -85,11 +86,12 @@
 		peers[i] = freeAddress(t)
 		fmt.Fprintf(&fleet, "[vm a/%d]\ndataCentre = a\naddress = %s\n", i+1, peers[i])
 	}
-	s.publish(t, "fleet", fleet.String())
-	s.publish(t, "contract/team", contractText("team", apiKey, 100_000, 5_000_000, 50))
-	s.publish(t, "contract/few", contractText("few", fewKey, fewRate, fewBurst, 50))
+	s.fleet = fleet.String()
+	s.publish(t, "fleet", 0, s.fleet)
+	s.publish(t, "contract/team", 0, contractText("team", apiKey, 100_000, 5_000_000, 50))
+	s.publish(t, "contract/few", 0, contractText("few", fewKey, fewRate, fewBurst, 50))
 	for i := range n {
-		s.vms = append(s.vms, startVM(t, fmt.Sprintf("a/%d", i+1), peers[i], s.log.Address(), peers))
+		s.vms = append(s.vms, startVM(t, fmt.Sprintf("a/%d", i+1), peers[i], strings.Join(append([]string{s.log.Address()}, platformLines...), "\n"), peers))
 	}
 	for _, v := range s.vms {
 		waitFor(t, "readiness of every VM", v.Ready)
@@ -97,14 +99,14 @@
 	return s
 }
 
-func (s *site) publish(t *testing.T, document, content string) {
+func (s *site) publish(t *testing.T, document string, base uint64, content string) {
 	t.Helper()
 	store := platform.NewStore(platform.NewHTTPLog(s.log.Address()))
 	defer store.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	for {
-		if _, err := store.Publish(ctx, document, 0, []byte(content)); err == nil {
+		if _, err := store.Publish(ctx, document, base, []byte(content)); err == nil {
 			return
 		} else if ctx.Err() != nil {
 			t.Fatal(err)
