entry: Compare configuration states by digest only

A VM ignored a peer's state whose version was lower than its own. Now any state with another digest that was not imported before is pulled, and the unused version is no longer sent. The fake of TestSync has falling versions; with the old code it fails with "VM 0 has the change".

--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -111,14 +111,16 @@
 
 func (f *fakeEndpoint) end(g engine.Grant) { f.change(func() { delete(f.running, g.ID) }) }
 
-// fakeSyncer holds one number; a higher one is newer.
+// fakeSyncer holds one number; a higher one is newer. Its version falls, since versions have no order: with a hash as version and an
+// ordered comparison, about half of the changes were not taken from peers.
 type fakeSyncer struct {
 	mu    sync.Mutex
 	value uint64
 }
 
-func (f *fakeSyncer) Version() uint64 { f.mu.Lock(); defer f.mu.Unlock(); return f.value }
-func (f *fakeSyncer) Export() []byte  { return []byte(fmt.Sprint(f.Version())) }
+func (f *fakeSyncer) get() uint64     { f.mu.Lock(); defer f.mu.Unlock(); return f.value }
+func (f *fakeSyncer) Version() uint64 { return ^f.get() }
+func (f *fakeSyncer) Export() []byte  { return []byte(fmt.Sprint(f.get())) }
 func (f *fakeSyncer) Import(data []byte) error {
 	var v uint64
 	if _, err := fmt.Sscan(string(data), &v); err != nil {
@@ -379,7 +381,7 @@
 	syncers[1].set(7)
 	begin := time.Now()
 	for i, s := range syncers {
-		eventually(t, fmt.Sprintf("VM %d has the change", i), func() bool { return s.Version() == 7 })
+		eventually(t, fmt.Sprintf("VM %d has the change", i), func() bool { return s.get() == 7 })
 	}
 	if took := time.Since(begin); took > 2*time.Second { // the bubble's clock; the target of section 5.1
 		t.Errorf("the change spread in %v", took)
--- a/entry/options.go
+++ b/entry/options.go
@@ -22,7 +22,8 @@
 	TLS         *tls.Config // mutual TLS with Certificates, RootCAs and ClientCAs, or nil for none
 }
 
-// Syncer is the configuration state that VMs exchange. Version rises with every change of Export.
+// Syncer is the configuration state that VMs exchange. Version differs after every change of Export; versions
+// have no order.
 type Syncer interface {
 	Export() []byte
 	Import(data []byte) error
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -28,8 +28,7 @@
 // probeMessage is both the request and the answer of a probe. The first update is the sender's own state.
 type probeMessage struct {
 	Updates []memberWire `cbor:"updates"`
-	Version uint64       `cbor:"version"` // of the sender's configuration
-	Digest  uint64       `cbor:"digest"`  // hash of the sender's configuration
+	Digest  uint64       `cbor:"digest"` // hash of the sender's configuration
 	Loads   []loadWire   `cbor:"loads,omitempty"`
 	Sites   []siteWire   `cbor:"sites,omitempty"` // the sender's data centre first
 }
@@ -115,7 +114,7 @@
 
 // message returns what this VM tells another one.
 func (n *Node) message(now time.Time, to Place) *probeMessage {
-	msg := &probeMessage{Version: n.syncing.version, Digest: n.syncing.digest, Sites: n.siteUpdates(now)}
+	msg := &probeMessage{Digest: n.syncing.digest, Sites: n.siteUpdates(now)}
 	if to.DataCentre == n.cfg.DataCentre {
 		for _, m := range n.members.Updates(to.Name) {
 			msg.Updates = append(msg.Updates, toWire(m))
@@ -155,7 +154,7 @@
 		n.sites.heard(now, updates)
 	}
 	n.sites.apply(now, msg.Sites)
-	n.compareSync(sender.place.Address, msg.Version, msg.Digest)
+	n.compareSync(sender.place.Address, msg.Digest)
 }
 
 // observeLoad keeps the load that an endpoint's owner told.
--- a/entry/sync.go
+++ b/entry/sync.go
@@ -26,10 +26,9 @@
 	imported        []uint64 // digests of states that were imported or are being imported
 }
 
-// syncMessage announces a state, asks for one, or carries one.
+// syncMessage announces a state by its digest, asks for one, or carries one.
 type syncMessage struct {
 	Address string `cbor:"address,omitempty"` // of the sender, for pulling what it announces
-	Version uint64 `cbor:"version"`
 	Digest  uint64 `cbor:"digest"`
 	Pull    bool   `cbor:"pull,omitempty"`
 	State   []byte `cbor:"state,omitempty"`
@@ -55,14 +54,14 @@
 	})
 }
 
-// announce tells other VMs the version of a changed state: all live members where they are few, otherwise some, and one
+// announce tells other VMs the digest of a changed state: all live members where they are few, otherwise some, and one
 // contact in each other data centre.
 func (n *Node) announce() {
 	limit := pushAll
 	if len(n.members.known) > pushAll {
 		limit = pushSome
 	}
-	msg := &syncMessage{Address: n.members.Self().place.Address, Version: n.syncing.version, Digest: n.syncing.digest}
+	msg := &syncMessage{Address: n.members.Self().place.Address, Digest: n.syncing.digest}
 	var addresses []string
 	for _, m := range n.members.Random(limit, "") {
 		addresses = append(addresses, m.place.Address)
@@ -79,12 +78,12 @@
 	}
 }
 
-// compareSync pulls the state of another VM that this one may lack. States are compared by digest and not only by version,
-// because two VMs that cannot reach the log may each accept another change and count the same version. A state that was
-// imported before is not pulled again.
-func (n *Node) compareSync(address string, version, digest uint64) {
+// compareSync pulls the state of another VM that this one may lack. Only digests are compared: versions have no order, because
+// VMs that cannot reach the log accept changes apart. Import takes only what is newer, and a state that was imported before is
+// not pulled again.
+func (n *Node) compareSync(address string, digest uint64) {
 	st := &n.syncing
-	if n.opts.syncer == nil || digest == 0 || digest == st.digest || version < st.version || st.pulling {
+	if n.opts.syncer == nil || digest == 0 || digest == st.digest || st.pulling {
 		return
 	}
 	for _, d := range st.imported {
@@ -120,11 +119,10 @@
 		return rep, nil
 	}
 	if req.Pull {
-		rep.Version = n.opts.syncer.Version()
 		rep.State = n.opts.syncer.Export()
 		rep.Digest = xxhash.Sum64(rep.State)
 		return rep, nil
 	}
-	n.do(func() { n.compareSync(req.Address, req.Version, req.Digest) })
+	n.do(func() { n.compareSync(req.Address, req.Digest) })
 	return rep, nil
 }
