--- a/vm/configuration.go
+++ b/vm/configuration.go
@@ -37,11 +37,13 @@
 		w.keepFleet(old)
 	}
 	v.current.Store(w)
+	v.checkPlace(w.snapshot)
 	if w.fleet == nil {
 		return
 	}
 	v.node.SetFleet(w.fleet.Places(), w.fleet.Engines(), w.snapshot.Drained)
 	v.node.SetQuotas(quotas(w.contracts))
+	v.fleetApplied.Store(w.revision)
 }
 
 // asProblems returns the findings in err, or one finding that has its text.
