--- a/vm/acquire.go
+++ b/vm/acquire.go
@@ -23,8 +23,8 @@
 		return v.ungranted(c, n, candidates[0]), nil
 	}
 	var refusal *customer.Refusal
-	for _, s := range candidates {
-		p, err := v.acquireAt(ctx, c, n, arrived, s, specs, false)
+	for i, s := range candidates {
+		p, err := v.acquireAt(ctx, c, roundID(c.ID, n, i), arrived, s, specs, false)
 		if err == nil {
 			return p, nil
 		}
@@ -33,7 +33,7 @@
 	if !waitable(refusal.Reason()) || (!patient && !full(refusal.Reason())) {
 		return placement{}, refusal
 	}
-	return v.acquireAt(ctx, c, n, arrived, candidates[0], specs, true)
+	return v.acquireAt(ctx, c, roundID(c.ID, n, len(candidates)), arrived, candidates[0], specs, true)
 }
 
 // ungranted returns a placement for a baseline policy, which sends whatever the endpoint's load is.
@@ -42,8 +42,9 @@
 	return placement{members: []engine.Member{{Spec: s, Tokens: c.Tokens()}}, grants: []engine.Grant{g}}
 }
 
-// acquireAt gets the grants of the members that hold c under lead, all or none, in the group's fixed order.
-func (v *VM) acquireAt(ctx context.Context, c *engine.Completion, n int, arrived time.Time, lead engine.Spec, specs []engine.Spec,
+// acquireAt gets the grants of the members that hold c under lead, all or none, in the group's fixed order. The lead's grant has
+// the given ID.
+func (v *VM) acquireAt(ctx context.Context, c *engine.Completion, id string, arrived time.Time, lead engine.Spec, specs []engine.Spec,
 	wait bool) (placement, error) {
 	members, ok := engine.PlanGroup(c, lead, specs)
 	if !ok {
@@ -51,7 +52,7 @@
 	}
 	p := placement{members: members}
 	for i, m := range members {
-		d := m.Demand(v.demand(c, lead, n, arrived))
+		d := m.Demand(v.demand(c, lead, id, arrived))
 		if i > 0 {
 			d.ID = memberID(d.ID, i)
 		}
@@ -88,10 +89,20 @@
 // attemptID returns the ID of one attempt at a request. An engine runs each ID once.
 func attemptID(request string, attempt int) string { return request + "." + strconv.Itoa(attempt) }
 
+// roundID returns the ID of the grants that one attempt asks for in one round. A group whose members cannot all start frees the grants
+// that it already has, and an owner refuses an ID that was freed, so that each round has its own.
+func roundID(request string, attempt, round int) string {
+	id := attemptID(request, attempt)
+	if round > 0 {
+		id += "-" + strconv.Itoa(round)
+	}
+	return id
+}
+
 // memberID returns the ID of the reservation of a group's further member.
 func memberID(attempt string, member int) string { return attempt + "." + strconv.Itoa(member) }
 
-func (v *VM) demand(c *engine.Completion, s engine.Spec, n int, arrived time.Time) engine.Demand {
+func (v *VM) demand(c *engine.Completion, s engine.Spec, id string, arrived time.Time) engine.Demand {
 	now := time.Now()
 	cached := 0
 	if v.chooser.Cached(s.Name, c.Prefix) {
@@ -99,7 +110,7 @@
 	}
 	slack := startSlack(c, s, cached, now.Sub(arrived), now)
 	return engine.Demand{
-		ID:           attemptID(c.ID, n),
+		ID:           id,
 		Holder:       v.place,
 		Customer:     c.Customer,
 		PromptTokens: c.PromptTokens,
