--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -287,7 +287,11 @@
 	var b strings.Builder
 	section(&b, "vm", "place", p.place, "dataCentre", p.dataCentre, "stopDelay", p.site.cfg.stopDelay.String())
 	section(&b, "caller", "listen", p.caller)
-	section(&b, "peer", "listen", p.peer, "contacts", strings.Join(contacts, ", "))
+	peer := []string{"listen", p.peer}
+	if len(contacts) > 0 {
+		peer = append(peer, "contacts", strings.Join(contacts, ", "))
+	}
+	section(&b, "peer", peer...)
 	section(&b, "operator", "listen", p.operatorAPI, "tokenFile", "token")
 	section(&b, "platform", "log", p.log.address())
 	if err := os.WriteFile(p.file(), []byte(b.String()), 0o600); err != nil {
@@ -441,6 +445,17 @@
 	}
 }
 
+// warm sends prompts until no engine of the site counts as in cold start, so that one engine takes many streams.
+func (s *site) warm() {
+	s.t.Helper()
+	for _, v := range s.vms {
+		s.await("end of cold start in "+v.dataCentre, func() bool {
+			background(4, func(int) standin.Outcome { return v.prompt(1_000, 1) })()
+			return !slices.ContainsFunc(v.status().Endpoints, func(e operator.EndpointStatus) bool { return e.Cold })
+		})
+	}
+}
+
 // capacity returns the memory that owners use, as the VM knows it.
 func (p *process) capacity() int {
 	sum := 0
