--- /dev/null
+++ b/integration/answers_test.go
@@ -0,0 +1,147 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/standin"
+)
+
+// TestConnectionReset guards against answers with gaps, repeats or another engine's text when the connection to the engine breaks in
+// mid answer: the answer has to go on at its offset, and the engine must not run it again.
+func TestConnectionReset(t *testing.T) {
+	s := newSite(t, siteConfig{dataCentres: 1, vms: 2, engines: 1})
+	s.warm()
+	answers := background(6, func(i int) standin.Outcome { return s.vms[i%2].prompt(1_000, 1_000) })
+	s.await("six streams", func() bool { return s.streams() == 6 })
+	for round := 1; round <= 3; round++ {
+		before := s.counters("").DecodeTokens
+		s.await("text on the streams", func() bool { return s.counters("").DecodeTokens > before+200 })
+		if n := s.fronts["engine-a-1"].reset(); n == 0 {
+			t.Error("no connection to the engine was open")
+		}
+	}
+	outcomes := answers()
+	s.wantAnswered("answers with reset connections", outcomes...)
+	if c := s.counters(""); c.Resumed < 6 || c.Duplicates > 0 || c.Lost > 0 {
+		t.Errorf("%d resumptions, %d repeated request IDs, %d lost streams; want at least 6 resumptions and nothing repeated or lost",
+			c.Resumed, c.Duplicates, c.Lost)
+	}
+	s.check(outcomes...)
+}
+
+// TestEngineCrashAfterText guards against an answer that looks complete, or that goes on with another engine's text, when the engine
+// crashes after part of the answer was delivered.
+func TestEngineCrashAfterText(t *testing.T) {
+	s := newSite(t, siteConfig{dataCentres: 1, vms: 1, engines: 2})
+	body := `{"model":"small","prompt":"how long is the way","max_tokens":2000,"stream":true}`
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.vms[0].caller+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("X-Request-Id", "crash1")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var text strings.Builder
+	crashed, failed, done := false, false, false
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var ev struct {
+			Choices []struct{ Text string }
+			Error   *struct{ Verdict string }
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		if err := json.Unmarshal([]byte(data), &ev); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range ev.Choices {
+			text.WriteString(c.Text)
+		}
+		if ev.Error != nil {
+			failed = true
+			if ev.Error.Verdict != "mayHaveRun" {
+				t.Errorf("verdict %q after text was delivered", ev.Error.Verdict)
+			}
+		}
+		if text.Len() > 0 && !crashed {
+			crashed = true
+			for _, e := range s.allEngines() {
+				if _, n, _ := e.Held(); n > 0 {
+					e.Crash()
+				}
+			}
+		}
+	}
+	if !crashed || !failed || done {
+		t.Errorf("text delivered %v, error event %v, end mark %v; want text, an error event and no end mark", crashed, failed, done)
+	}
+	if !strings.HasPrefix(standin.Answer("crash1", modelSmall, 2_000), text.String()) {
+		t.Error("the delivered text is no beginning of the request's own answer")
+	}
+	s.check()
+}
+
+// TestEngineCrashBeforeText guards against a request that fails although nothing of its answer was delivered and another engine
+// could give it.
+func TestEngineCrashBeforeText(t *testing.T) {
+	s := newSite(t, siteConfig{dataCentres: 1, vms: 1, engines: 2})
+	s.warm()
+	answer := background(1, func(int) standin.Outcome { return s.vms[0].prompt(90_000, 20) })
+	var first *standin.Engine
+	s.await("the prompt on an engine", func() bool {
+		for _, e := range s.allEngines() {
+			if _, n, _ := e.Held(); n > 0 {
+				first = e
+			}
+		}
+		return first != nil
+	})
+	first.Crash()
+	outcomes := answer()
+	s.wantAnswered("prompt whose first engine crashed", outcomes...)
+	if n := s.counters("").Lost; n != 1 {
+		t.Errorf("%d streams were lost, want 1", n)
+	}
+	s.check(outcomes...)
+}
+
+// TestOverload guards against refusals with the verdict notRun for requests that ran, and against requests that never end, when far
+// more work arrives than the engines can do, engines refuse by themselves, and connections break.
+func TestOverload(t *testing.T) {
+	s := newSite(t, siteConfig{dataCentres: 2, vms: 2, engines: 1, short: 5 * time.Second, change: func(_ int, c *standin.EngineConfig) {
+		c.Sequences, c.MaxWaiting = 4, 2
+	}})
+	load := s.loadConfig(1.5, 8*time.Second, 41)
+	load.ClassShares = map[customer.Class]float64{customer.Short: 1}
+	wait := s.run(load, s.vms...)
+	for i := range 6 {
+		time.Sleep(time.Second)
+		e := s.engines["a"][0]
+		e.SetRefuse(i%2 == 0)
+		s.fronts[fmt.Sprintf("engine-%s-1", s.dataCentres()[i%2])].reset()
+	}
+	s.engines["a"][0].SetRefuse(false)
+	outcomes := wait()
+	counts := byStatus(outcomes)
+	if counts[standin.Answered] == 0 || counts[standin.Refused] == 0 || counts[standin.Broken] > 0 {
+		t.Errorf("outcomes %v; want answers and refusals, and none that ended without an end mark or an error", counts)
+	}
+	s.check(outcomes...)
+}
