--- a/cmd/goldlab/experiment.go
+++ b/cmd/goldlab/experiment.go
@@ -108,7 +108,14 @@
 	violations := 0
 	var rows [][]string
 	var summaries []standin.Summary
-	for i, policy := range policies {
+	selected := cmd.StringSlice("policy")
+	if len(selected) == 0 {
+		selected = policies
+	}
+	for _, policy := range selected {
+		if !slices.Contains(policies, policy) {
+			return errors.Errorf("policy %q is none of %s", policy, strings.Join(policies, ", "))
+		}
 		fmt.Fprintf(os.Stderr, "%s with %s\n", e.name, policy)
 		t := &trial{policy: policy, length: length, seed: cmd.Uint64("seed"), part: cmd.Float("load"), progress: os.Stderr}
 		row, err := e.run(ctx, t)
@@ -119,7 +126,7 @@
 		for _, s := range t.summaries {
 			broken += len(s.Violations)
 		}
-		if i == 0 {
+		if policy == policies[0] {
 			violations = broken
 		}
 		rows = append(rows, slices.Concat([]string{policy}, row, []string{fmt.Sprint(broken)}))
