Free the shares of a dead guardian when the VM list shows its VM gone

The share of a guardian whose VM died stayed unused until a replacement took the place. Now any VM of the data centre marks the run as freed in the log once membership has it as dead and the VM list has shown its place empty for 30 s, and other places act as guardians of its shares.

Two VMs never lend one share: an acting guardian lends only while its copy of the log is younger than 5 s, a new one waits until every earlier one has stopped and its leases have ended, and a replacement leaves the shares alone for 5.2 s after its registration. Lender.SetTotal applies the wait also to a share that was taken away before and still has leases.

--- a/entry/lender.go
+++ b/entry/lender.go
@@ -124,14 +124,17 @@
 	l.origin = OriginUnknown
 }
 
-// SetTotal sets how many units of a resource the lender may lend. A resource that is new to the lender is lent only after
+// SetTotal sets how many units of a resource the lender may lend. A resource that the lender did not lend until now is lent only after
 // wait, in which leases of its former lender run out.
 func (l *Lender[K]) SetTotal(now time.Time, key K, total int, wait time.Duration) {
 	p := l.pools[key]
 	if p == nil {
-		p = &pool{notBefore: now.Add(wait), lent: wait > 0, borrowers: map[BorrowerID]*debt{}}
+		p = &pool{borrowers: map[BorrowerID]*debt{}}
 		l.pools[key] = p
 	}
+	if p.total == 0 {
+		p.notBefore, p.lent = now.Add(wait), p.lent || wait > 0
+	}
 	p.total = total
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -61,6 +61,9 @@
 	nextAsk   map[shareKey]time.Time
 	returns   map[string][]shareReturn // leases to give back, by guardian
 	ranks     map[string][]string      // places in rendezvous order for each resource
+	freed     map[string]bool          // places whose shares other places lend
+	freedAsOf time.Time                // as of when freed is known
+	acting    map[shareKey]bool        // shares that this VM lends for a freed place
 	mayLend   bool
 	leaving   bool
 	starting  bool // within startGrace
@@ -123,6 +126,7 @@
 		nextAsk:  map[shareKey]time.Time{},
 		returns:  map[string][]shareReturn{},
 		ranks:    map[string][]string{},
+		acting:   map[shareKey]bool{},
 		sites:    newSites(cfg.DataCentre),
 		mayLend:  o.mayLend == nil || o.mayLend(),
 	}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -213,7 +213,7 @@
 // sharesComing says whether the owner can expect more usable shares soon: one is held and waits, or its guardian lives.
 func (n *Node) sharesComing(now time.Time, o *owned) bool {
 	resource := endpointResource(o.spec.Name)
-	for i, guardian := range guardians(n.order(resource)) {
+	for i, guardian := range n.guardians(resource) {
 		if n.borrower.Usable(now, o.observed, shareKey{resource, i}) == 0 && n.members.Live(guardian) {
 			return true
 		}
--- a/entry/place.go
+++ b/entry/place.go
@@ -46,6 +46,32 @@
 	return guardians(rank(resource, places))
 }
 
+// actingGuardians returns the guardians with another place for each that was freed: the next place in order that lends no
+// share, or else the first one that was not freed.
+func actingGuardians(order []string, freed map[string]bool) []string {
+	out := guardians(order)
+	var live, spare []string
+	for _, place := range order {
+		if freed[place] {
+			continue
+		}
+		live = append(live, place)
+		if !slices.Contains(out, place) {
+			spare = append(spare, place)
+		}
+	}
+	for i, place := range out {
+		switch {
+		case !freed[place]:
+		case len(spare) > 0:
+			out[i], spare = spare[0], spare[1:]
+		case len(live) > 0:
+			out[i] = live[0]
+		}
+	}
+	return out
+}
+
 func guardians(order []string) []string {
 	if len(order) == 0 {
 		return nil
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,6 +69,49 @@
 	}
 }
 
+const (
+	// FreedSpread is the age of the copy of the log up to which a VM lends a share of a freed guardian. It is above the time
+	// that a read of the log without news takes.
+	FreedSpread = 5 * time.Second
+	// ReclaimWait is how long after its registration a replacement of a freed guardian leaves the shares to the VMs that lend
+	// them meanwhile. They have read of it by then, or their copy is too old.
+	ReclaimWait = FreedSpread + 200*time.Millisecond // the drift of two clocks over it is below 4%
+	// freedWait is how long a VM waits before it lends a share of a freed guardian: until another VM that lent it before has
+	// stopped and its leases have ended.
+	freedWait = ReclaimWait + 4200*time.Millisecond
+)
+
+// SetFreed tells which places were freed, by a copy of the log that has all its records as of asOf. Other guardians lend the
+// shares of these places.
+func (n *Node) SetFreed(places []string, asOf time.Time) {
+	n.do(func() { n.setFreed(time.Now(), places, asOf) })
+}
+
+func (n *Node) setFreed(now time.Time, places []string, asOf time.Time) {
+	freed := map[string]bool{}
+	for _, p := range places {
+		freed[p] = true
+	}
+	n.freedAsOf = asOf
+	if !maps.Equal(freed, n.freed) {
+		n.freed = freed
+		n.guard(now, n.local)
+	}
+}
+
+// guardians returns the places that lend the shares of a resource at the moment.
+func (n *Node) guardians(resource string) []string {
+	return actingGuardians(n.order(resource), n.freed)
+}
+
+// lend answers one request, unless this VM may not lend the share now.
+func (n *Node) lend(now time.Time, who BorrowerID, ask Ask[shareKey]) (Loan[shareKey], bool) {
+	if !n.mayLend || n.members.Superseded() || n.acting[ask.Key] && now.Sub(n.freedAsOf) >= FreedSpread {
+		return Loan[shareKey]{}, false
+	}
+	return n.lender.Lend(now, who, ask)
+}
+
 // beginSole ends the wait of a data centre's only VM.
 func (n *Node) beginSole(now time.Time) {
 	if len(n.local) == 1 && n.local[0] == n.cfg.Place {
@@ -111,13 +155,18 @@
 		wait = configSpread + ShareTimers().LenderLease
 	}
 	guarded := map[shareKey]bool{}
+	clear(n.acting)
 	wanted := map[string]bool{}
 	add := func(resource string) {
 		wanted[resource] = true
-		for i, place := range guardians(n.order(resource)) {
+		for i, place := range n.guardians(resource) {
 			if place == n.cfg.Place {
 				key := shareKey{resource, i}
 				guarded[key] = true
+				if n.acting[key] = guardians(n.order(resource))[i] != place; n.acting[key] {
+					n.lender.SetTotal(now, key, 1, max(wait, freedWait))
+					continue
+				}
 				n.lender.SetTotal(now, key, 1, wait)
 			}
 		}
@@ -149,7 +198,7 @@
 func (n *Node) borrow(now time.Time, b *Borrower[shareKey], resources []string) {
 	batches := map[string][]Ask[shareKey]{}
 	for _, resource := range resources {
-		for i, guardian := range guardians(n.order(resource)) {
+		for i, guardian := range n.guardians(resource) {
 			key := shareKey{resource, i}
 			if now.Before(n.nextAsk[key]) {
 				continue
@@ -162,10 +211,8 @@
 			ask := b.Ask(now, key, 1)
 			if guardian != n.cfg.Place {
 				batches[guardian] = append(batches[guardian], ask)
-			} else if n.mayLend {
-				if loan, ok := n.lender.Lend(now, n.id(), ask); ok {
-					b.Lent(now, loan)
-				}
+			} else if loan, ok := n.lend(now, n.id(), ask); ok {
+				b.Lent(now, loan)
 			}
 		}
 	}
@@ -183,7 +230,7 @@
 // giveBack ends the leases on resources' shares. The messages to other guardians go out with takeReturns.
 func (n *Node) giveBack(now time.Time, b *Borrower[shareKey], resources []string) {
 	for _, resource := range resources {
-		for i, guardian := range guardians(n.order(resource)) {
+		for i, guardian := range n.guardians(resource) {
 			key := shareKey{resource, i}
 			delete(n.nextAsk, key)
 			sequence, ok := b.Release(key)
@@ -241,14 +288,14 @@
 			n.lender.Return(now, who, r.Key, r.Sequence)
 		}
 		m, known := n.members.Get(req.Place)
-		if !known || m.incarnation > req.Incarnation || !n.mayLend || n.members.Superseded() {
+		if !known || m.incarnation > req.Incarnation {
 			return
 		}
 		for _, ask := range req.Asks {
 			if place, ok := n.candidate(ask.Key.Resource); !ok || place != req.Place {
 				continue
 			}
-			if loan, ok := n.lender.Lend(now, who, ask); ok {
+			if loan, ok := n.lend(now, who, ask); ok {
 				rep.Loans = append(rep.Loans, loan)
 			}
 		}
--- a/vm/places.go
+++ b/vm/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"goldcrestpath/entry"
 	"goldcrestpath/platform"
 )
 
@@ -73,6 +74,9 @@
 	if !rule.mayLend() && !v.awaitAlone(&rule) {
 		return
 	}
+	if run.Reclaims && !sleep(v.ctx, time.Until(rule.registered.Add(entry.ReclaimWait))) {
+		return
+	}
 	v.run.Store(&run)
 	v.lending.Store(true)
 	first := run.First && v.beginFirst(run.Fleet)
@@ -134,9 +138,15 @@
 
 // checkPlace stops lending and borrowing where the configuration shows a later run at this VM's place.
 func (v *VM) checkPlace(s *platform.Snapshot) {
-	if run, ok := s.Place(v.place); ok && run.Incarnation > v.incarnation && !v.node.Superseded() {
+	run, _ := s.Place(v.place)
+	switch {
+	case v.node.Superseded():
+	case run.Incarnation > v.incarnation:
 		v.logger.Warnf("vm: another VM has taken place %s; this one lends and borrows nothing and is not ready", v.place)
 		v.node.Supersede(run.Incarnation)
+	case run.Incarnation == v.incarnation && run.Freed:
+		v.logger.Errorf("vm: the VM list showed place %s empty and other VMs lend its shares; this VM has to be restarted", v.place)
+		v.node.Supersede(run.Incarnation + 1)
 	}
 }
 
--- a/vm/places_rule_test.go
+++ b/vm/places_rule_test.go
@@ -7,6 +7,44 @@
 	"goldcrestpath/platform"
 )
 
+// TestGoneRule guards against shares that are freed while their guardian may live: it was listed a moment ago, the list is stale
+// or empty, or the run is a new one.
+func TestGoneRule(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	type read struct {
+		after, age  time.Duration
+		places      string // one digit each; this VM is at 1
+		incarnation uint64 // of the dead run at 2
+		want        bool
+	}
+	for name, reads := range map[string][]read{
+		"gone":                  {{0, 0, "13", 7, false}, {29 * time.Second, 0, "13", 7, false}, {31 * time.Second, 0, "13", 7, true}},
+		"the list lags":         {{0, 0, "13", 7, false}, {31 * time.Second, 5 * time.Second, "13", 7, false}, {36 * time.Second, 5 * time.Second, "13", 7, true}},
+		"listed meanwhile":      {{0, 0, "1", 7, false}, {20 * time.Second, 0, "12", 7, false}, {31 * time.Second, 0, "1", 7, false}, {62 * time.Second, 0, "1", 7, true}},
+		"this VM is not listed": {{0, 0, "1", 7, false}, {20 * time.Second, 0, "", 7, false}, {31 * time.Second, 0, "1", 7, false}},
+		"alive meanwhile":       {{0, 0, "1", 7, false}, {20 * time.Second, 0, "1", 0, false}, {31 * time.Second, 0, "1", 7, false}},
+		"a new run":             {{0, 0, "1", 7, false}, {31 * time.Second, 0, "1", 8, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rule := goneRule{place: "1"}
+			for i, r := range reads {
+				var list platform.VMs
+				list.Age = r.age
+				for _, p := range r.places {
+					list.VMs = append(list.VMs, platform.ListedVM{Place: string(p)})
+				}
+				var dead []platform.PlaceRun
+				if r.incarnation > 0 {
+					dead = append(dead, platform.PlaceRun{Place: "2", Incarnation: r.incarnation})
+				}
+				if got := len(rule.observe(begin.Add(r.after), list, dead)) > 0; got != r.want {
+					t.Errorf("read %d: gone: %t, want %t", i, got, r.want)
+				}
+			}
+		})
+	}
+}
+
 // TestPlaceRule guards against a VM that lends while an earlier one at its place may lend the same shares.
 func TestPlaceRule(t *testing.T) {
 	registered := time.Unix(1_700_000_000, 0)
--- a/vm/places_test.go
+++ b/vm/places_test.go
@@ -68,4 +68,13 @@
 	if second.Lending() || second.Ready() || third.Lending() {
 		t.Errorf("after the place was taken: lending %t, ready %t; the next VM, while both are listed: lending %t", second.Lending(), second.Ready(), third.Lending())
 	}
+
+	listed("i-3")
+	waitFor(t, "lending by the VM that took the place", third.Lending)
+	listed("i-3", "i-4")
+	if err := third.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+	fourth := start("i-4", s.log.Address())
+	waitFor(t, "lending after a graceful stop that the VM list does not show yet", fourth.Lending)
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -144,6 +144,7 @@
 	}
 	v.observer = newObserver(v)
 	v.wg.Go(v.followPlace)
+	v.wg.Go(v.followFreed)
 	v.wg.Go(func() { v.orders.run(v.ctx) })
 	v.wg.Add(2)
 	go func() {
