--- a/cmd/goldcrest/main_test.go
+++ b/cmd/goldcrest/main_test.go
@@ -97,7 +97,7 @@
 
 // Guards against a sample that check does not accept.
 func TestCheckAcceptsSamples(t *testing.T) {
-	files, err := filepath.Glob("../../sample/*")
+	files, err := filepath.Glob("../../sample/*.ini")
 	if err != nil || len(files) < 3 {
 		t.Fatalf("samples: %v, %v", files, err)
 	}
@@ -152,15 +152,15 @@
 		code           int
 		stdout, stderr string // parts
 	}{
-		{"publish", []string{"publish", "contract/choir", contract, "--base", "0"}, true, exitDone, "1\n", ""},
-		{"conflict", []string{"publish", "--base", "0", "contract/choir", contract}, true, exitConflict, "1\n", "base revision 0 is not the current revision 1"},
-		{"wrong name", []string{"publish", "contract/x", contract, "--base", "1"}, true, exitProblems, "", `contract/x: [contract] name = "choir"`},
-		{"wrong kind", []string{"publish", "contract/choir", sampleFleet, "--base", "1"}, true, exitProblems, "", "contract/choir: "},
-		{"no base", []string{"publish", "contract/choir", contract}, true, exitUsage, "", "base"},
-		{"show", []string{"show", "contract/choir"}, true, exitDone, "name = choir", "contract/choir: revision 1"},
-		{"list", []string{"show"}, true, exitDone, "contract/choir  1", ""},
-		{"history", []string{"history", "contract/choir"}, true, exitDone, "contract/choir  1", ""},
-		{"history without it", []string{"history", "--revision", "7", "contract/choir"}, true, exitFailed, "", "revision 7 is not in the history"},
+		{"publish", []string{"publish", "contract/deskTeam", contract, "--base", "0"}, true, exitDone, "1\n", ""},
+		{"conflict", []string{"publish", "--base", "0", "contract/deskTeam", contract}, true, exitConflict, "1\n", "base revision 0 is not the current revision 1"},
+		{"wrong name", []string{"publish", "contract/x", contract, "--base", "1"}, true, exitProblems, "", `contract/x: [contract] name = "deskTeam"`},
+		{"wrong kind", []string{"publish", "contract/deskTeam", sampleFleet, "--base", "1"}, true, exitProblems, "", "contract/deskTeam: "},
+		{"no base", []string{"publish", "contract/deskTeam", contract}, true, exitUsage, "", "base"},
+		{"show", []string{"show", "contract/deskTeam"}, true, exitDone, "name = deskTeam", "contract/deskTeam: revision 1"},
+		{"list", []string{"show"}, true, exitDone, "contract/deskTeam  1", ""},
+		{"history", []string{"history", "contract/deskTeam"}, true, exitDone, "contract/deskTeam  1", ""},
+		{"history without it", []string{"history", "--revision", "7", "contract/deskTeam"}, true, exitFailed, "", "revision 7 is not in the history"},
 		{"drain", []string{"drain", "vm/jm-a/1", "--wait"}, true, exitDone, "drained true, generation 1", ""},
 		{"return", []string{"return", "vm/jm-a/1", "--wait"}, true, exitDone, "drained false, generation 2", ""},
 		{"bad target", []string{"drain", "jm-a/1"}, true, exitUsage, "", "allowed are dataCentre/NAME"},
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -91,22 +91,22 @@
 	c := NewClient(startServer(t, a, metrics.NewRegistry()), testToken)
 	defer c.Close()
 	contract := readSample(t, "contract.ini")
-	if revision, err := c.Publish(t.Context(), "contract/choir", 0, contract); err != nil || revision != 1 {
+	if revision, err := c.Publish(t.Context(), "contract/deskTeam", 0, contract); err != nil || revision != 1 {
 		t.Fatalf("publish: revision %d, %v", revision, err)
 	}
 	var conflict *platform.ConflictError
-	_, err := c.Publish(t.Context(), "contract/choir", 0, contract)
-	if want := (platform.ConflictError{Document: "contract/choir", Current: 1}); !errors.As(err, &conflict) || *conflict != want {
+	_, err := c.Publish(t.Context(), "contract/deskTeam", 0, contract)
+	if want := (platform.ConflictError{Document: "contract/deskTeam", Current: 1}); !errors.As(err, &conflict) || *conflict != want {
 		t.Errorf("publish on an old base: %v", err)
 	}
 	var problems customer.Problems
-	if _, err := c.Publish(t.Context(), "contract/other", 0, contract); !errors.As(err, &problems) || problems[0].Value != "choir" {
+	if _, err := c.Publish(t.Context(), "contract/other", 0, contract); !errors.As(err, &problems) || problems[0].Value != "deskTeam" {
 		t.Errorf("publish under another name: %v", err)
 	}
 	if _, err := c.Publish(t.Context(), "fleet", 0, []byte("[x]\n")); !errors.As(err, &problems) || problems[0].Section != "x" {
 		t.Errorf("publish of a bad fleet: %v", err)
 	}
-	d, err := c.Document(t.Context(), "contract/choir")
+	d, err := c.Document(t.Context(), "contract/deskTeam")
 	if err != nil || d.Revision != 1 || !bytes.Equal(d.Content, contract) {
 		t.Errorf("show: %+v, %v", d, err)
 	}
@@ -115,7 +115,7 @@
 		t.Errorf("show of an unknown document: %v", err)
 	}
 	a.err = errors.Wrap(platform.Unknown(errors.New("lost")), "publish")
-	if _, err := c.Publish(t.Context(), "contract/choir", 1, contract); !errors.As(err, &answer) || answer.Code != codeUnknown {
+	if _, err := c.Publish(t.Context(), "contract/deskTeam", 1, contract); !errors.As(err, &answer) || answer.Code != codeUnknown {
 		t.Errorf("publish with a lost answer: %v", err)
 	}
 }
