--- a/engine/client.go
+++ b/engine/client.go
@@ -16,7 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/service/attempt"
+	"goldcrestpath/http1"
 )
 
 // Bounds of the client.
@@ -156,7 +156,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	fill(req, s, method, path, body)
-	a, sent, err := attempt.Do(ctx, s.Address, ready, req, resp)
+	a, sent, err := http1.Do(ctx, s.Address, ready, req, resp)
 	if err != nil {
 		return sent, err
 	}
@@ -307,7 +307,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	fill(req, s, method, path, body)
-	a, sent, err := attempt.Do(ctx, s.Address, nil, req, resp)
+	a, sent, err := http1.Do(ctx, s.Address, nil, req, resp)
 	if err != nil {
 		return c.refusal(ctx, err, sent)
 	}
--- a/service/attempt/attempt.go
+++ b/http1/http1.go
@@ -1,12 +1,13 @@
-// Package attempt performs one HTTP request on a connection of its own.
+// Package http1 performs one HTTP request on a connection of its own.
 //
 // A request is written at most once. Pooled connections are not used, because a server that closes an idle connection
 // while a request is written to it leaves open whether it read the request. With a new connection, an error before the
 // connection is open proves that the request was not sent.
-package attempt
+package http1
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -75,6 +76,34 @@
 	return &checkedConn{Conn: conn, a: a}, nil
 }
 
+// ErrTooLong is the error of a body above the limit.
+var ErrTooLong = errors.New("body is longer than the limit")
+
+// ReadBody reads the body of a response that Do has begun, up to limit bytes, and closes the connection. The end of Do's
+// ctx ends it.
+func (a *Attempt) ReadBody(resp *fasthttp.Response, limit int) ([]byte, error) {
+	defer resp.CloseBodyStream()
+	defer a.Close() // before CloseBodyStream, which otherwise reads the rest of the body
+	stream := resp.BodyStream()
+	if stream == nil {
+		body := append([]byte(nil), resp.Body()...)
+		if len(body) > limit {
+			return nil, ErrTooLong
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	switch {
+	case err != nil && a.ctx.Err() != nil:
+		return nil, a.ctx.Err()
+	case err != nil:
+		return nil, err
+	case len(body) > limit:
+		return nil, ErrTooLong
+	}
+	return body, nil
+}
+
 // Close closes the connection.
 func (a *Attempt) Close() {
 	a.mu.Lock()
--- a/service/client.go
+++ b/service/client.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/service/attempt"
+	"goldcrestpath/http1"
 )
 
 // verdictHeader is the header with which an instance states that it refused a call before running it.
@@ -49,12 +49,11 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	fill(req, s, r)
-	a, sent, err := attempt.Do(ctx, s.Address, nil, req, resp)
+	a, sent, err := http1.Do(ctx, s.Address, nil, req, resp)
 	if err != nil {
 		return nil, failure(ctx, sent, err)
 	}
-	defer resp.CloseBodyStream()
-	defer a.Close()                           // before CloseBodyStream, which otherwise reads the rest of the body
+	defer a.Close()
 	resp.Header.SetNoDefaultContentType(true) // fasthttp otherwise adds a field that the instance did not send
 	out := &Response{Status: resp.StatusCode()}
 	refused := false
@@ -70,17 +69,13 @@
 	if out.Status == fasthttp.StatusServiceUnavailable && refused {
 		return nil, customer.Refuse(customer.ReasonEndpointRefused, s.Name+" refused the call before running it")
 	}
-	if stream := resp.BodyStream(); stream != nil {
-		out.Body, err = io.ReadAll(io.LimitReader(stream, int64(c.maxResponse)+1))
-	} else {
-		out.Body = append([]byte(nil), resp.Body()...)
+	out.Body, err = a.ReadBody(resp, c.maxResponse)
+	if errors.Is(err, http1.ErrTooLong) {
+		return nil, customer.Fail(customer.ReasonEndpointFailed, s.Name+" sent a response above "+strconv.Itoa(c.maxResponse)+" bytes")
 	}
 	if err != nil {
 		return nil, failure(ctx, true, err)
 	}
-	if len(out.Body) > c.maxResponse {
-		return nil, customer.Fail(customer.ReasonEndpointFailed, s.Name+" sent a response above "+strconv.Itoa(c.maxResponse)+" bytes")
-	}
 	return out, nil
 }
 
