--- a/engine/client.go
+++ b/engine/client.go
@@ -9,13 +9,14 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/service/attempt"
+	"goldcrestpath/http1"
 )
 
 // Bounds of the client.
@@ -99,6 +100,9 @@
 	asm := &assembler{attempt: number, sink: sink}
 	started, err := c.connect(ctx, s, fasthttp.MethodPost, "/v1/completions", body, func() error { return c.valid(g) }, asm)
 	for try := 0; err != nil && started && asm.sinkErr == nil && resumable(err) && ctx.Err() == nil && try < resumeTries; {
+		if try > 0 && asm.offset == 0 && errors.Is(err, syscall.ECONNREFUSED) {
+			break // the engine's process is gone, and another endpoint can answer from the start
+		}
 		if try > 0 && !sleep(ctx, resumePause<<(try-1)) {
 			break
 		}
@@ -152,7 +156,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	fill(req, s, method, path, body)
-	a, sent, err := attempt.Do(ctx, s.Address, ready, req, resp)
+	a, sent, err := http1.Do(ctx, s.Address, ready, req, resp)
 	if err != nil {
 		return sent, err
 	}
@@ -303,7 +307,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	fill(req, s, method, path, body)
-	a, sent, err := attempt.Do(ctx, s.Address, nil, req, resp)
+	a, sent, err := http1.Do(ctx, s.Address, nil, req, resp)
 	if err != nil {
 		return c.refusal(ctx, err, sent)
 	}
--- a/entry/lender.go
+++ b/entry/lender.go
@@ -101,6 +101,10 @@
 	}
 }
 
+// BeginFirst ends the wait after a start. It is called where it became known that no process has lent the same resources
+// before, and before this one has lent any.
+func (l *Lender[K]) BeginFirst(now time.Time) { l.begin(now, OriginFirst) }
+
 func (l *Lender[K]) begin(now time.Time, o Origin) { l.notBefore, l.origin = now, o }
 
 // Wake tells the lender that it runs. It is called far more often than the pause limit. After a longer gap the lender's view
@@ -120,14 +124,17 @@
 	l.origin = OriginUnknown
 }
 
-// SetTotal sets how many units of a resource the lender may lend. A resource that is new to the lender is lent only after
+// SetTotal sets how many units of a resource the lender may lend. A resource that the lender did not lend until now is lent only after
 // wait, in which leases of its former lender run out.
 func (l *Lender[K]) SetTotal(now time.Time, key K, total int, wait time.Duration) {
 	p := l.pools[key]
 	if p == nil {
-		p = &pool{notBefore: now.Add(wait), lent: wait > 0, borrowers: map[BorrowerID]*debt{}}
+		p = &pool{borrowers: map[BorrowerID]*debt{}}
 		l.pools[key] = p
 	}
+	if p.total == 0 {
+		p.notBefore, p.lent = now.Add(wait), p.lent || wait > 0
+	}
 	p.total = total
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -61,6 +61,9 @@
 	nextAsk   map[shareKey]time.Time
 	returns   map[string][]shareReturn // leases to give back, by guardian
 	ranks     map[string][]string      // places in rendezvous order for each resource
+	freed     map[string]bool          // places whose shares other places lend
+	freedAsOf time.Time                // as of when freed is known
+	acting    map[shareKey]bool        // shares that this VM lends for a freed place
 	mayLend   bool
 	leaving   bool
 	starting  bool // within startGrace
@@ -86,6 +89,8 @@
 	sites    []Site
 	contacts map[string][]Member // live VMs of other data centres
 	drained  func(string) bool
+
+	superseded bool
 }
 
 type knownLoad struct {
@@ -121,6 +126,7 @@
 		nextAsk:  map[shareKey]time.Time{},
 		returns:  map[string][]shareReturn{},
 		ranks:    map[string][]string{},
+		acting:   map[shareKey]bool{},
 		sites:    newSites(cfg.DataCentre),
 		mayLend:  o.mayLend == nil || o.mayLend(),
 	}
@@ -368,7 +374,7 @@
 // publish replaces the view of readers outside the control goroutine.
 func (n *Node) publish(now time.Time) {
 	n.nextView = now.Add(viewInterval)
-	v := &view{members: n.members.All(), owners: make(map[string]string, len(n.specs)), loads: make(map[string]knownLoad, len(n.loads)), drained: n.drained}
+	v := &view{members: n.members.All(), owners: make(map[string]string, len(n.specs)), loads: make(map[string]knownLoad, len(n.loads)), drained: n.drained, superseded: n.members.Superseded()}
 	for name := range n.specs {
 		if place, ok := n.candidate(endpointResource(name)); ok {
 			v.owners[name] = place
--- a/entry/options.go
+++ b/entry/options.go
@@ -22,7 +22,8 @@
 	TLS         *tls.Config // mutual TLS with Certificates, RootCAs and ClientCAs, or nil for none
 }
 
-// Syncer is the configuration state that VMs exchange. Version rises with every change of Export.
+// Syncer is the configuration state that VMs exchange. Version differs after every change of Export; versions
+// have no order.
 type Syncer interface {
 	Export() []byte
 	Import(data []byte) error
@@ -72,7 +73,7 @@
 	dial       func(ctx context.Context, address string) (net.Conn, error)
 	firstStart bool
 	mayLend    func() bool
-	demand     func(customer string) Quota
+	demand     func(customer string) Need
 }
 
 // WithSyncer sets the configuration state to exchange.
@@ -104,6 +105,6 @@
 // Node then lends at once and marks its shares as never lent.
 func WithFirstStart() Option { return func(o *options) { o.firstStart = true } }
 
-// WithMayLend holds back all lending while f is false. A replacement VM gives a function that is true once the VM list shows
-// that the earlier VM at the place is gone. The Node lends one lease after f turned true.
+// WithMayLend holds back all lending while f is false. A VM gives a function that is true once it is known that the earlier
+// VM at the place is gone. The Node lends one lease after f turned true, or at once after BeginFirst.
 func WithMayLend(f func() bool) Option { return func(o *options) { o.mayLend = f } }
--- a/vm/acquire.go
+++ b/vm/acquire.go
@@ -16,24 +16,24 @@
 }
 
 // acquire gets the grants for one attempt. It asks each candidate's owner for an immediate start and then waits in the queue of the
-// best one. The baseline policies send without grants.
-func (v *VM) acquire(ctx context.Context, c *engine.Completion, n int, arrived time.Time, candidates, specs []engine.Spec) (placement,
-	error) {
+// best one. Without patience it waits only for room, not for cold endpoints or owners. The baseline policies send without grants.
+func (d *delivery) acquire(ctx context.Context, n int, candidates, specs []engine.Spec, patient bool) (placement, error) {
+	v, c, arrived := d.v, d.c, d.arrived
 	if v.policy != engine.PolicyAffinity {
 		return v.ungranted(c, n, candidates[0]), nil
 	}
 	var refusal *customer.Refusal
-	for _, s := range candidates {
-		p, err := v.acquireAt(ctx, c, n, arrived, s, specs, false)
+	for i, s := range candidates {
+		p, err := v.acquireAt(ctx, c, roundID(c.ID, n, i), arrived, s, specs, false)
 		if err == nil {
 			return p, nil
 		}
 		refusal = betterRefusal(refusal, customer.AsRefusal(err))
 	}
-	if !waitable(refusal.Reason()) {
+	if !waitable(refusal.Reason()) || (!patient && !full(refusal.Reason())) {
 		return placement{}, refusal
 	}
-	return v.acquireAt(ctx, c, n, arrived, candidates[0], specs, true)
+	return v.acquireAt(ctx, c, roundID(c.ID, n, len(candidates)), arrived, candidates[0], specs, true)
 }
 
 // ungranted returns a placement for a baseline policy, which sends whatever the endpoint's load is.
@@ -42,8 +42,9 @@
 	return placement{members: []engine.Member{{Spec: s, Tokens: c.Tokens()}}, grants: []engine.Grant{g}}
 }
 
-// acquireAt gets the grants of the members that hold c under lead, all or none, in the group's fixed order.
-func (v *VM) acquireAt(ctx context.Context, c *engine.Completion, n int, arrived time.Time, lead engine.Spec, specs []engine.Spec,
+// acquireAt gets the grants of the members that hold c under lead, all or none, in the group's fixed order. The lead's grant has
+// the given ID.
+func (v *VM) acquireAt(ctx context.Context, c *engine.Completion, id string, arrived time.Time, lead engine.Spec, specs []engine.Spec,
 	wait bool) (placement, error) {
 	members, ok := engine.PlanGroup(c, lead, specs)
 	if !ok {
@@ -51,7 +52,7 @@
 	}
 	p := placement{members: members}
 	for i, m := range members {
-		d := m.Demand(v.demand(c, lead, n, arrived))
+		d := m.Demand(v.demand(c, lead, id, arrived))
 		if i > 0 {
 			d.ID = memberID(d.ID, i)
 		}
@@ -88,10 +89,20 @@
 // attemptID returns the ID of one attempt at a request. An engine runs each ID once.
 func attemptID(request string, attempt int) string { return request + "." + strconv.Itoa(attempt) }
 
+// roundID returns the ID of the grants that one attempt asks for in one round. A group whose members cannot all start frees the grants
+// that it already has, and an owner refuses an ID that was freed, so that each round has its own.
+func roundID(request string, attempt, round int) string {
+	id := attemptID(request, attempt)
+	if round > 0 {
+		id += "-" + strconv.Itoa(round)
+	}
+	return id
+}
+
 // memberID returns the ID of the reservation of a group's further member.
 func memberID(attempt string, member int) string { return attempt + "." + strconv.Itoa(member) }
 
-func (v *VM) demand(c *engine.Completion, s engine.Spec, n int, arrived time.Time) engine.Demand {
+func (v *VM) demand(c *engine.Completion, s engine.Spec, id string, arrived time.Time) engine.Demand {
 	now := time.Now()
 	cached := 0
 	if v.chooser.Cached(s.Name, c.Prefix) {
@@ -99,7 +110,7 @@
 	}
 	slack := startSlack(c, s, cached, now.Sub(arrived), now)
 	return engine.Demand{
-		ID:           attemptID(c.ID, n),
+		ID:           id,
 		Holder:       v.place,
 		Customer:     c.Customer,
 		PromptTokens: c.PromptTokens,
@@ -114,14 +125,12 @@
 
 // waitable says whether waiting in an owner's queue can help after a refusal for this reason.
 func waitable(r customer.Reason) bool {
-	switch r {
-	case customer.ReasonQueueFull, customer.ReasonCold, customer.ReasonShare, customer.ReasonMemory:
-		return true
-	default:
-		return false
-	}
+	return full(r) || r == customer.ReasonCold || r == customer.ReasonShare || r == customer.ReasonNoOwner
 }
 
+// full says whether a refusal for this reason means that running work takes the room.
+func full(r customer.Reason) bool { return r == customer.ReasonQueueFull || r == customer.ReasonMemory }
+
 // betterRefusal returns the refusal that tells more: one that waiting may resolve goes before the others.
 func betterRefusal(a, b *customer.Refusal) *customer.Refusal {
 	if a == nil || (waitable(b.Reason()) && !waitable(a.Reason())) {
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -51,6 +51,7 @@
 	picker    *service.Picker
 	observer  *observer
 	limiter   *customer.Limiter
+	parts     *parts
 	retries   *customer.RetryBudget
 	backoff   *customer.Backoff
 	estimator *customer.Estimator
@@ -60,6 +61,13 @@
 	operators      *operator.Server
 	operatorListen net.Listener
 
+	vmList       *platform.VMList
+	weights      *platform.WeightStore
+	orders       *orders
+	run          atomic.Pointer[platform.PlaceRun] // this run, once it may lend
+	lending      atomic.Bool                       // no earlier VM at the place lends
+	fleetApplied atomic.Uint64                     // newest revision of the fleet document that the node has applied
+
 	current   atomic.Pointer[view]
 	started   time.Time
 	served    atomic.Bool // has been ready
@@ -97,7 +105,7 @@
 		policy:      s.Policy(),
 		logger:      log.Log,
 		registry:    metrics.NewRegistry(),
-		limiter:     customer.NewLimiter(customer.WithWholeContracts()),
+		limiter:     customer.NewLimiter(),
 		retries:     customer.NewRetryBudget(),
 		backoff:     customer.NewBackoff(backoffBase, backoffLimit, rand.Float64),
 		estimator:   customer.NewEstimator(),
@@ -110,6 +118,7 @@
 	for _, opt := range opts {
 		opt(v)
 	}
+	v.parts = newParts(v.limiter)
 	v.engines = engine.NewClient(engine.WithIncarnation(v.incarnation))
 	v.counters = newCounters(v.registry)
 	v.ctx, v.cancel = context.WithCancel(context.Background())
@@ -125,17 +134,27 @@
 func (v *VM) start() error {
 	v.store = platform.NewStore(platform.NewHTTPLog(v.settings.LogAddress()),
 		platform.WithClaimRetention(v.settings.ClaimRetention()), platform.WithLogger(v.logger))
+	v.weights = platform.NewWeightStore(v.settings.WeightStoreAddress())
+	v.orders = newOrders(v)
+	v.vmList = platform.NewVMList(v.settings.VMListAddress())
 	empty, _ := newView(v.dataCentre, v.store.Snapshot())
 	v.current.Store(empty)
 	if err := v.startPeer(); err != nil {
 		return err
 	}
 	v.observer = newObserver(v)
-	v.wg.Add(1)
+	v.wg.Go(v.followPlace)
+	v.wg.Go(v.followFreed)
+	v.wg.Go(func() { v.orders.run(v.ctx) })
+	v.wg.Add(2)
 	go func() {
 		defer v.wg.Done()
 		v.followConfiguration()
 	}()
+	go func() {
+		defer v.wg.Done()
+		v.followParts()
+	}()
 	if err := v.startOperator(); err != nil {
 		return err
 	}
@@ -154,7 +173,8 @@
 		Incarnation: v.incarnation,
 		Contacts:    v.settings.PeerContacts(),
 		TLS:         cfg,
-	}, entry.WithSyncer(v.store), entry.WithEndpoints(v.engines), entry.WithLocal(local{v}), entry.WithMetrics(v.registry))
+	}, entry.WithSyncer(v.store), entry.WithEndpoints(v.orders), entry.WithLocal(local{v}), entry.WithMetrics(v.registry),
+		entry.WithDemand(v.parts.need), entry.WithMayLend(v.lending.Load))
 	return errors.Wrap(err, "start peer listener")
 }
 
@@ -173,6 +193,9 @@
 	return 1
 }
 
+// Lending says whether this VM may lend shares: no earlier VM at its place does, and no later one has taken the place.
+func (v *VM) Lending() bool { return v.lending.Load() && !v.node.Superseded() }
+
 // warn logs the failure of a background task.
 func (v *VM) warn(task string, err error) {
 	if err != nil && v.ctx.Err() == nil {
