--- a/engine/client.go
+++ b/engine/client.go
@@ -34,6 +34,7 @@
 	incarnation uint64
 	now         func() time.Time
 	stall       time.Duration
+	priority    func(*Completion) int
 	ctx         context.Context // ends with Close
 	stop        context.CancelFunc
 	freeing     sync.WaitGroup
@@ -51,9 +52,13 @@
 // WithStall sets after how much silence within an answer the connection counts as lost.
 func WithStall(d time.Duration) ClientOption { return func(c *Client) { c.stall = d } }
 
+// WithContractPriority sends the contract's priority alone, without the length class. The baseline policies use it, because a load
+// balancer does not know prompt lengths.
+func WithContractPriority() ClientOption { return func(c *Client) { c.priority = contractPriority } }
+
 // NewClient returns a client.
 func NewClient(opts ...ClientOption) *Client {
-	c := &Client{now: time.Now, stall: defaultStall}
+	c := &Client{now: time.Now, stall: defaultStall, priority: classPriority}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
@@ -91,7 +96,7 @@
 	}
 	body, err := json.Marshal(wireCompletion{
 		Model: r.Model, Prompt: string(r.Prompt), MaxTokens: r.MaxTokens, Stream: true, RequestID: g.ID,
-		Priority: enginePriority(r), Holder: g.Holder, Incarnation: c.incarnation,
+		Priority: c.priority(r), Holder: g.Holder, Incarnation: c.incarnation,
 		ReservedTokens: g.Demand.Tokens(), GroupTokens: groupTokens,
 	})
 	if err != nil {
@@ -133,12 +138,16 @@
 	return c.refusal(ctx, err, true)
 }
 
-// enginePriority orders work on an engine by length class and then by the contract's priority, so that a short prompt is
-// prefilled before a long one.
-func enginePriority(r *Completion) int {
-	const priorities = 10 // contract priorities lie between 0 and 9
+// priorities is the number of contract priorities, which lie between 0 and 9.
+const priorities = 10
+
+func contractPriority(r *Completion) int { return min(max(r.Priority, 0), priorities-1) }
+
+// classPriority orders work on an engine by length class and then by the contract's priority, so that a short prompt is prefilled
+// before a long one.
+func classPriority(r *Completion) int {
 	classes := customer.Classes()
-	return (len(classes)-1-int(customer.ClassOf(r.PromptTokens)))*priorities + min(max(r.Priority, 0), priorities-1)
+	return (len(classes)-1-int(customer.ClassOf(r.PromptTokens)))*priorities + contractPriority(r)
 }
 
 // valid checks the grant immediately before the send.
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -119,7 +119,7 @@
 		opt(v)
 	}
 	v.parts = newParts(v.limiter)
-	v.engines = engine.NewClient(engine.WithIncarnation(v.incarnation))
+	v.engines = v.newEngineClient()
 	v.counters = newCounters(v.registry)
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 	if err := v.start(); err != nil {
@@ -130,6 +130,14 @@
 	return v, nil
 }
 
+func (v *VM) newEngineClient() *engine.Client {
+	opts := []engine.ClientOption{engine.WithIncarnation(v.incarnation)}
+	if v.policy != engine.PolicyAffinity {
+		opts = append(opts, engine.WithContractPriority())
+	}
+	return engine.NewClient(opts...)
+}
+
 // start opens clients and listeners in the order in which they depend on each other.
 func (v *VM) start() error {
 	v.store = platform.NewStore(platform.NewHTTPLog(v.settings.LogAddress()),
