entry: Check the wait of an acting guardian by itself

The random model of freed shares did not fail when the wait of an acting guardian lacked the time in which an earlier one may still lend by an older copy of the log.

--- a/entry/freed_test.go
+++ b/entry/freed_test.go
@@ -16,7 +16,8 @@
 // freedWorld is a model of guardians that die, are freed by a record in the log and replaced, while every VM reads the log late
 // and every message can take any time. Clocks drift.
 type freedWorld struct {
-	t       *rapid.T
+	t       interface{ Fatalf(string, ...any) }
+	drift   func() float64
 	elapsed time.Duration // true time
 	places  []string
 	log     []freedRecord
@@ -48,7 +49,43 @@
 	return time.Unix(0, 0).Add(w.elapsed + time.Duration(float64(w.elapsed)*drift))
 }
 
-func (w *freedWorld) drift() float64 { return float64(rapid.IntRange(-5, 5).Draw(w.t, "drift")) / 1000 }
+func newFreedWorld(t interface{ Fatalf(string, ...any) }, places int, drift func() float64) *freedWorld {
+	w := &freedWorld{t: t, drift: drift, vms: map[string]*freedVM{}}
+	for i := range places {
+		w.places = append(w.places, fmt.Sprint("a/", i))
+	}
+	for _, place := range w.places {
+		w.start(place)
+	}
+	for i := range 3 {
+		b, err := NewBorrower[shareKey](ShareTimers())
+		if err != nil {
+			t.Fatalf("%v", err)
+		}
+		w.owners = append(w.owners, &freedOwner{id: BorrowerID{fmt.Sprint("o", i), 1}, shares: b, drift: w.drift()})
+	}
+	return w
+}
+
+// tick lets a short time pass in which all living VMs run.
+func (w *freedWorld) tick() {
+	w.elapsed += 250 * time.Millisecond
+	for _, v := range w.vms {
+		if !v.dead {
+			v.node.wakeLenders(w.clock(v.drift))
+		}
+	}
+	w.check()
+}
+
+// deliver delivers all messages.
+func (w *freedWorld) deliver() {
+	for len(w.mail) > 0 {
+		f := w.mail[0]
+		w.mail = w.mail[1:]
+		f()
+	}
+}
 
 // start starts a VM that is registered at once. The one before it at the place is dead.
 func (w *freedWorld) start(place string) {
@@ -64,7 +101,7 @@
 		members: NewMembers(Place{Name: place}, w.runs, now, rand.New(rand.NewPCG(1, 1))),
 	}
 	if err := v.node.newLeases(now); err != nil {
-		w.t.Fatal(err)
+		w.t.Fatalf("%v", err)
 	}
 	v.node.guard(now, nil)
 	w.vms[place] = v
@@ -125,20 +162,7 @@
 func TestFreedShares(t *testing.T) {
 	lent := 0
 	rapid.Check(t, func(t *rapid.T) {
-		w := &freedWorld{t: t, vms: map[string]*freedVM{}}
-		for i := range rapid.IntRange(2, 5).Draw(t, "places") {
-			w.places = append(w.places, fmt.Sprint("a/", i))
-		}
-		for _, place := range w.places {
-			w.start(place)
-		}
-		for i := range 3 {
-			b, err := NewBorrower[shareKey](ShareTimers())
-			if err != nil {
-				t.Fatal(err)
-			}
-			w.owners = append(w.owners, &freedOwner{id: BorrowerID{fmt.Sprint("o", i), 1}, shares: b, drift: w.drift()})
-		}
+		w := newFreedWorld(t, rapid.IntRange(2, 5).Draw(t, "places"), func() float64 { return float64(rapid.IntRange(-5, 5).Draw(t, "drift")) / 1000 })
 		for range rapid.IntRange(50, 300).Draw(t, "steps") {
 			place := rapid.SampledFrom(w.places).Draw(t, "place")
 			v := w.vms[place]
@@ -161,7 +185,13 @@
 				}
 			default:
 				share := rapid.IntRange(0, Shares-1).Draw(t, "share")
-				w.ask(rapid.SampledFrom(w.owners).Draw(t, "owner"), w.vms[rapid.SampledFrom(w.places).Draw(t, "lender")], share)
+				// A VM that lends the share by its own copy of the log; often there is more than one.
+				lenders := slices.DeleteFunc(slices.Clone(w.places), func(p string) bool {
+					return w.vms[p].node.guardians(endpointResource("e"))[share] != p
+				})
+				if len(lenders) > 0 {
+					w.ask(rapid.SampledFrom(w.owners).Draw(t, "owner"), w.vms[rapid.SampledFrom(lenders).Draw(t, "lender")], share)
+				}
 			}
 			for range rapid.IntRange(0, 4).Draw(t, "deliveries") {
 				if len(w.mail) > 0 {
@@ -172,13 +202,7 @@
 				}
 			}
 			for range rapid.IntRange(0, 6).Draw(t, "ticks") {
-				w.elapsed += 250 * time.Millisecond
-				for _, v := range w.vms {
-					if !v.dead {
-						v.node.wakeLenders(w.clock(v.drift))
-					}
-				}
-				w.check()
+				w.tick()
 			}
 			for _, v := range w.vms {
 				for key := range v.node.acting {
@@ -194,6 +218,39 @@
 	}
 }
 
+// Guards against a VM that lends a freed guardian's share while another one still lends it by an older copy of the log.
+func TestActingGuardianChanges(t *testing.T) {
+	w := newFreedWorld(t, 5, func() float64 { return 0 })
+	order := rank(endpointResource("e"), w.places)
+	for _, place := range order[:2] {
+		w.vms[place].dead = true
+		w.log = append(w.log, freedRecord{place, w.vms[place].node.cfg.Incarnation, true})
+	}
+	third, fourth := w.vms[order[3]], w.vms[order[4]]
+	const share = 1 // lent by the fourth until the first place has a replacement, then by the third
+	run := func(d time.Duration, fourthReads bool) {
+		for end := w.elapsed + d; w.elapsed < end; w.tick() {
+			w.read(third)
+			if fourthReads {
+				w.read(fourth)
+			}
+			w.ask(w.owners[0], fourth, share)
+			w.ask(w.owners[1], third, share)
+			w.deliver()
+		}
+	}
+	held := func(o int) int { return w.owners[o].shares.Held(w.clock(0), shareKey{endpointResource("e"), share}) }
+	run(15*time.Second, true)
+	if held(0) != 1 {
+		t.Fatal("the first acting guardian does not lend")
+	}
+	w.start(order[0])
+	run(30*time.Second, false)
+	if held(1) != 1 {
+		t.Error("the second acting guardian does not lend")
+	}
+}
+
 // Guards against a share without a guardian, or with a freed one, while another place lives.
 func TestActingGuardians(t *testing.T) {
 	for _, c := range []struct {
