--- a/standin/address.go
+++ b/standin/address.go
@@ -16,10 +16,14 @@
 	lastPort  = 32_000
 )
 
+// portsPerProcess is the distance between the first ports of processes with neighbouring IDs. go test starts the test processes of
+// several packages together, and the integration tests take several hundred ports.
+const portsPerProcess = 1_009
+
 var nextPort = struct {
 	sync.Mutex
 	offset int
-}{offset: os.Getpid() * 97}
+}{offset: os.Getpid() * portsPerProcess}
 
 // FreeAddress returns a loopback address that nothing listens on. It hands out each address once in a process; processes start at
 // different ports.
