--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -199,12 +199,7 @@
 		if s.cfg.change != nil {
 			s.cfg.change(i, &c)
 		}
-		ln := reserve(s.t)
-		ln.Close()
-		e, err := standin.NewEngine(ln.Addr().String(), c)
-		if err != nil {
-			s.t.Fatal(err)
-		}
+		e := s.startEngine(c)
 		s.t.Cleanup(e.Close)
 		s.engines[dc] = append(s.engines[dc], e)
 		s.fronts[c.Name] = newFront(s.t, c.Name, e.Address())
@@ -235,6 +230,22 @@
 	section(fleet, "service "+name, "service", "booking", "dataCentre", dc, "address", s.fronts[name].address(), "concurrent", "64")
 }
 
+// startEngine starts an engine on a port below the ephemeral range, which it listens on again after a crash.
+func (s *site) startEngine(c standin.EngineConfig) *standin.Engine {
+	s.t.Helper()
+	var err error
+	for range 10 {
+		ln := reserve(s.t)
+		ln.Close()
+		var e *standin.Engine
+		if e, err = standin.NewEngine(ln.Addr().String(), c); err == nil {
+			return e
+		}
+	}
+	s.t.Fatal(err)
+	return nil
+}
+
 func (s *site) contract() string {
 	var b strings.Builder
 	sum := sha256.Sum256([]byte(apiKey))
@@ -558,7 +569,7 @@
 	return p.load.Send(context.Background(), standin.Arrival{Number: number, Customer: team, Booking: true, Key: key}, time.Now())
 }
 
-// background runs n calls at a time and returns a function that waits for their outcomes.
+// background runs n calls side by side and returns a function that waits for their outcomes.
 func background(n int, call func(i int) standin.Outcome) func() []standin.Outcome {
 	outcomes := make([]standin.Outcome, n)
 	var wg sync.WaitGroup
@@ -625,7 +636,7 @@
 	}
 }
 
-// status counts outcomes by status.
+// byStatus counts outcomes by status.
 func byStatus(outcomes []standin.Outcome) map[standin.Status]int {
 	counts := map[standin.Status]int{}
 	for _, o := range outcomes {
