--- a/entry/probe.go
+++ b/entry/probe.go
@@ -9,12 +9,12 @@
 
 // memberWire is one update about a member.
 type memberWire struct {
-	Place       string `cbor:"place"`
-	DataCentre  string `cbor:"dataCentre"`
-	Address     string `cbor:"address"`
-	Incarnation uint64 `cbor:"incarnation"`
-	Refutation  uint64 `cbor:"refutation"`
-	State       State  `cbor:"state"`
+	Place       string `cbor:"1,keyasint"`
+	DataCentre  string `cbor:"2,keyasint"`
+	Address     string `cbor:"3,keyasint"`
+	Incarnation uint64 `cbor:"4,keyasint"`
+	Refutation  uint64 `cbor:"5,keyasint,omitempty"`
+	State       State  `cbor:"6,keyasint"`
 }
 
 func toWire(m Member) memberWire {
@@ -35,8 +35,8 @@
 
 // loadWire is the load of an endpoint that the sender owns.
 type loadWire struct {
-	Endpoint string      `cbor:"endpoint"`
-	Load     engine.Load `cbor:"load"`
+	Endpoint string   `cbor:"1,keyasint"`
+	Load     loadBody `cbor:"2,keyasint"`
 }
 
 // maxLoads bounds the loads in one message.
@@ -123,7 +123,7 @@
 			if len(msg.Loads) == maxLoads {
 				break // map order varies, so other endpoints have their turn in other messages
 			}
-			msg.Loads = append(msg.Loads, loadWire{name, o.ledger.Load()})
+			msg.Loads = append(msg.Loads, loadWire{name, loadBody(o.ledger.Load())})
 		}
 		return msg
 	}
@@ -148,7 +148,7 @@
 	if sender.place.DataCentre == n.cfg.DataCentre {
 		n.members.Apply(now, updates)
 		for _, l := range msg.Loads {
-			n.observeLoad(now, l.Endpoint, l.Load)
+			n.observeLoad(now, l.Endpoint, engine.Load(l.Load))
 		}
 	} else {
 		n.sites.heard(now, updates)
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -43,8 +43,8 @@
 }
 
 type quotaKey struct {
-	Customer string    `cbor:"customer"`
-	Kind     quotaKind `cbor:"kind"`
+	Customer string    `cbor:"1,keyasint"`
+	Kind     quotaKind `cbor:"2,keyasint"`
 }
 
 const (
@@ -356,11 +356,11 @@
 }
 
 type quotaAsk struct {
-	Key       quotaKey `cbor:"key"`
-	Sequence  uint64   `cbor:"sequence"`
-	Confirmed uint64   `cbor:"confirmed"`
-	Demand    int      `cbor:"demand"`
-	InUse     int      `cbor:"inUse,omitempty"` // units that the VM can't give back yet
+	Key       quotaKey `cbor:"1,keyasint"`
+	Sequence  uint64   `cbor:"2,keyasint"`
+	Confirmed uint64   `cbor:"3,keyasint"`
+	Demand    int      `cbor:"4,keyasint"`
+	InUse     int      `cbor:"5,keyasint,omitempty"` // units that the VM can't give back yet
 }
 
 type quotaReply struct {
