operator: Serve and call the operators' API over fasthttp

Paths are matched by a table in place of net/http's mux, the token is checked before a body is read, and each call of the client has a connection of its own through http1, which gets a TLS option. No call is repeated. The VM closes the operators' listener itself, because fasthttp's Shutdown does not know a listener before Serve has begun. The API and its tests are as before; a test of paths, methods and body limits is new.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"sync"
@@ -26,18 +27,28 @@
 type Attempt struct {
 	ctx   context.Context
 	ready func() error
+	tls   *tls.Config
 	mu    sync.Mutex
 	conn  net.Conn
 	stop  func() bool
 	sent  bool
 }
 
+// Option sets an optional property of an Attempt.
+type Option func(*Attempt)
+
+// WithTLS makes the connection use TLS. The server's certificate has to name the IP address.
+func WithTLS(cfg *tls.Config) Option { return func(a *Attempt) { a.tls = cfg } }
+
 // Do sends req once and reads the header of the response. The caller reads resp's body stream and calls Close at the end.
 // The end of ctx closes the connection, which ends Do and any read of the body. ready, if not nil, is called immediately
 // before the first byte is written; its error prevents the write. sent is false where no byte was written, so that the
 // request certainly did not run.
-func Do(ctx context.Context, address string, ready func() error, req *fasthttp.Request, resp *fasthttp.Response) (a *Attempt, sent bool, err error) {
+func Do(ctx context.Context, address string, ready func() error, req *fasthttp.Request, resp *fasthttp.Response, opts ...Option) (a *Attempt, sent bool, err error) {
 	a = &Attempt{ctx: ctx, ready: ready}
+	for _, opt := range opts {
+		opt(a)
+	}
 	client := &fasthttp.HostClient{
 		Addr:                          address,
 		Dial:                          a.dial,
@@ -69,6 +80,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if a.tls != nil {
+		if conn, err = handshake(a.ctx, conn, a.tls); err != nil {
+			return nil, err
+		}
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = conn
@@ -76,6 +92,25 @@
 	return &checkedConn{Conn: conn, a: a}, nil
 }
 
+// handshake opens TLS on conn, which it closes if it fails.
+func handshake(ctx context.Context, conn net.Conn, cfg *tls.Config) (net.Conn, error) {
+	if cfg.ServerName == "" {
+		host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+		if err != nil {
+			conn.Close()
+			return nil, err
+		}
+		cfg = cfg.Clone()
+		cfg.ServerName = host
+	}
+	c := tls.Client(conn, cfg)
+	if err := c.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // ErrTooLong is the error of a body above the limit.
 var ErrTooLong = errors.New("body is longer than the limit")
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -1,20 +1,18 @@
 package operator
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
+	"goldcrestpath/http1"
 	"goldcrestpath/platform"
 )
 
@@ -39,9 +37,9 @@
 
 // Client calls the operators' API of one VM. It repeats no call.
 type Client struct {
-	base  string
-	token string
-	http  *http.Client
+	address string
+	token   string
+	opts    []http1.Option
 }
 
 // ClientOption changes a Client.
@@ -49,28 +47,20 @@
 
 // WithTLS makes the client use TLS.
 func WithTLS(cfg *tls.Config) ClientOption {
-	return func(c *Client) {
-		c.base = "https" + strings.TrimPrefix(c.base, "http")
-		c.http.Transport.(*http.Transport).TLSClientConfig = cfg
-	}
+	return func(c *Client) { c.opts = append(c.opts, http1.WithTLS(cfg)) }
 }
 
 // NewClient returns a client of the API at an IP address and port.
 func NewClient(address, token string, opts ...ClientOption) *Client {
-	dialer := &net.Dialer{Timeout: clientTimeout}
-	c := &Client{
-		base:  "http://" + address,
-		token: token,
-		http:  &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DialContext: dialer.DialContext}},
-	}
+	c := &Client{address: address, token: token}
 	for _, opt := range opts {
 		opt(c)
 	}
 	return c
 }
 
-// Close ends idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// Close ends the use of the client. It has no connections to close, because each call has one of its own.
+func (c *Client) Close() {}
 
 // call sends one request and decodes the answer into out.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
@@ -82,38 +72,43 @@
 }
 
 func (c *Client) raw(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set("Authorization", "Bearer "+c.token)
-	resp, err := c.http.Do(req)
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.Header.SetHost(c.address)
+	req.Header.Set(fasthttp.HeaderAuthorization, bearer+c.token)
+	req.SetBodyRaw(body)
+	a, _, err := http1.Do(ctx, c.address, nil, req, resp, c.opts...)
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	data, err := a.ReadBody(resp, answerLimit)
 	if err != nil {
 		return nil, errors.Wrap(err, "read answer")
 	}
-	if resp.StatusCode == http.StatusOK {
+	status := resp.StatusCode()
+	if status == fasthttp.StatusOK {
 		return data, nil
 	}
 	var e wireError
 	if err := json.Unmarshal(data, &e); err != nil {
-		return nil, &APIError{Status: resp.StatusCode, Code: codeBadRequest, Message: strings.TrimSpace(string(data))}
+		return nil, &APIError{Status: status, Code: codeBadRequest, Message: strings.TrimSpace(string(data))}
 	}
 	if e.Code == codeProblems {
 		return nil, e.Problems
 	}
-	return nil, &APIError{Status: resp.StatusCode, Code: e.Code, Message: e.Message, current: e.Current}
+	return nil, &APIError{Status: status, Code: e.Code, Message: e.Message, current: e.Current}
 }
 
 // Publish publishes a document and returns its revision. The error is a *platform.ConflictError where base is not the
 // current revision, and of type customer.Problems where the content is not accepted.
 func (c *Client) Publish(ctx context.Context, document string, base uint64, content []byte) (uint64, error) {
 	var out wireRevision
-	err := c.call(ctx, http.MethodPut, fmt.Sprintf("/documents/%s?base=%d", escape(document), base), content, &out)
+	err := c.call(ctx, fasthttp.MethodPut, fmt.Sprintf("/documents/%s?base=%d", escape(document), base), content, &out)
 	var e *APIError
 	if errors.As(err, &e) && e.Code == codeConflict {
 		return 0, &platform.ConflictError{Document: document, Base: base, Current: e.current}
@@ -124,7 +119,7 @@
 // Document returns the newest revision of a document.
 func (c *Client) Document(ctx context.Context, document string) (platform.Document, error) {
 	var out wireDocument
-	err := c.call(ctx, http.MethodGet, "/documents/"+escape(document), nil, &out)
+	err := c.call(ctx, fasthttp.MethodGet, "/documents/"+escape(document), nil, &out)
 	return out.document(), err
 }
 
@@ -147,7 +142,7 @@
 
 func (c *Client) list(ctx context.Context, path string) ([]platform.Document, error) {
 	var out []wireDocument
-	if err := c.call(ctx, http.MethodGet, path, nil, &out); err != nil {
+	if err := c.call(ctx, fasthttp.MethodGet, path, nil, &out); err != nil {
 		return nil, err
 	}
 	list := make([]platform.Document, len(out))
@@ -164,18 +159,18 @@
 		return DrainStatus{}, err
 	}
 	var out DrainStatus
-	err = c.call(ctx, http.MethodPut, "/drains/"+escape(target), body, &out)
+	err = c.call(ctx, fasthttp.MethodPut, "/drains/"+escape(target), body, &out)
 	return out, err
 }
 
 // Status returns the VM's status.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var out Status
-	err := c.call(ctx, http.MethodGet, "/status", nil, &out)
+	err := c.call(ctx, fasthttp.MethodGet, "/status", nil, &out)
 	return out, err
 }
 
 // Metrics returns the VM's metrics in the Prometheus text format.
 func (c *Client) Metrics(ctx context.Context) ([]byte, error) {
-	return c.raw(ctx, http.MethodGet, "/metrics", nil)
+	return c.raw(ctx, fasthttp.MethodGet, "/metrics", nil)
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
 
 	"goldcrestpath/customer"
 	"goldcrestpath/platform"
@@ -25,10 +25,15 @@
 	documentLimit = 16 << 20
 	// callTimeout bounds the work on one call, above the time in which the store resolves a lost answer.
 	callTimeout = 10 * time.Second
-	// headerTimeout bounds the time in which a client sends its headers.
-	headerTimeout = 5 * time.Second
+	// readTimeout bounds the time in which a client sends its request.
+	readTimeout = 30 * time.Second
+	// idleTimeout bounds the time between two requests on a connection.
+	idleTimeout = time.Minute
 )
 
+// bearer is the prefix of the token in the header Authorization.
+const bearer = "Bearer "
+
 // Error codes of the API.
 const (
 	codeBadRequest   = "badRequest"
@@ -47,7 +52,7 @@
 	token    [sha256.Size]byte
 	hasToken bool
 	logger   log.Interface
-	http     *http.Server
+	http     *fasthttp.Server
 }
 
 // Option changes a Server.
@@ -69,42 +74,108 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /documents", s.documents)
-	mux.HandleFunc("GET /documents/{name...}", s.document)
-	mux.HandleFunc("PUT /documents/{name...}", s.publish)
-	mux.HandleFunc("GET /history/{name...}", s.history)
-	mux.HandleFunc("PUT /drains/{target...}", s.drain)
-	mux.HandleFunc("GET /status", s.status)
-	mux.HandleFunc("GET /metrics", s.metrics)
-	s.http = &http.Server{Handler: s.authorized(mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
+	s.http = &fasthttp.Server{
+		Handler:      s.handle,
+		ErrorHandler: s.malformed,
+		Logger:       httpLogger{s.logger},
+		ReadTimeout:  readTimeout,
+		IdleTimeout:  idleTimeout,
+		// A body is read after the token was checked.
+		StreamRequestBody:            true,
+		MaxRequestBodySize:           bodyStep,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+	}
 	return s
 }
 
+// bodyStep is how much of a body the server reads before the handler runs.
+const bodyStep = 64 << 10
+
+// httpLogger takes the server's own messages, which are about single connections.
+type httpLogger struct{ log.Interface }
+
+// Printf implements fasthttp.Logger.
+func (l httpLogger) Printf(format string, args ...any) { l.Debugf("operator: "+format, args...) }
+
 // Serve answers calls on the listener until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "operators' API")
-	}
-	return nil
+	return errors.Wrap(s.http.Serve(ln), "operators' API")
 }
 
 // Shutdown ends running calls first.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
-// authorized compares hashes, so that the time does not depend on the token.
-func (s *Server) authorized(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		hash := sha256.Sum256([]byte(token))
-		if !ok || !s.hasToken || subtle.ConstantTimeCompare(hash[:], s.token[:]) != 1 {
-			s.answer(w, http.StatusUnauthorized, wireError{Code: codeUnauthorized, Message: "the token is missing or wrong"})
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+
+// handle checks the token and calls the handler of the path. It compares hashes, so that the time does not depend on the
+// token.
+func (s *Server) handle(r *fasthttp.RequestCtx) {
+	token, ok := strings.CutPrefix(string(r.Request.Header.Peek(fasthttp.HeaderAuthorization)), bearer)
+	hash := sha256.Sum256([]byte(token))
+	if !ok || !s.hasToken || subtle.ConstantTimeCompare(hash[:], s.token[:]) != 1 {
+		r.SetConnectionClose()
+		s.answer(r, fasthttp.StatusUnauthorized, wireError{Code: codeUnauthorized, Message: "the token is missing or wrong"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	method, path := string(r.Method()), string(r.Path())
+	var allowed []string
+	for _, route := range routes {
+		name, ok := strings.CutPrefix(path, route.path)
+		if !ok || (name != "") != route.named {
+			continue
+		}
+		if method == route.method {
+			route.serve(s, ctx, r, name)
 			return
 		}
-		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-		defer cancel()
-		next.ServeHTTP(w, r.WithContext(ctx))
-	})
+		allowed = append(allowed, route.method)
+	}
+	r.SetConnectionClose() // a body may be unread
+	if len(allowed) > 0 {
+		r.Response.Header.Set(fasthttp.HeaderAllow, strings.Join(allowed, ", "))
+		s.answer(r, fasthttp.StatusMethodNotAllowed, wireError{Code: codeBadRequest, Message: "allowed is " + strings.Join(allowed, ", ")})
+		return
+	}
+	s.answer(r, fasthttp.StatusNotFound, wireError{Code: codeNotFound, Message: "path " + path + " is unknown"})
+}
+
+// route is one call of the API. The path of a named one goes on with a name.
+type route struct {
+	method, path string
+	named        bool
+	serve        func(s *Server, ctx context.Context, r *fasthttp.RequestCtx, name string)
+}
+
+var routes = []route{
+	{fasthttp.MethodGet, "/documents", false, (*Server).documents},
+	{fasthttp.MethodGet, "/documents/", true, (*Server).document},
+	{fasthttp.MethodPut, "/documents/", true, (*Server).publish},
+	{fasthttp.MethodGet, "/history/", true, (*Server).history},
+	{fasthttp.MethodPut, "/drains/", true, (*Server).drain},
+	{fasthttp.MethodGet, "/status", false, (*Server).status},
+	{fasthttp.MethodGet, "/metrics", false, (*Server).metrics},
+}
+
+// malformed answers a request that is not HTTP.
+func (s *Server) malformed(r *fasthttp.RequestCtx, err error) {
+	r.SetConnectionClose()
+	s.answer(r, fasthttp.StatusBadRequest, wireError{Code: codeBadRequest, Message: err.Error()})
+}
+
+// readBody reads the body of a call up to documentLimit.
+func readBody(r *fasthttp.RequestCtx) ([]byte, error) {
+	stream := r.RequestBodyStream()
+	if stream == nil {
+		return r.PostBody(), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, documentLimit+1))
+	if err == nil && len(body) > documentLimit {
+		r.SetConnectionClose()
+		err = errors.Errorf("body is longer than %d bytes", documentLimit)
+	}
+	return body, err
 }
 
 type wireDocument struct {
@@ -131,16 +202,16 @@
 	Problems customer.Problems `json:"problems,omitempty"` // findings of the check
 }
 
-func (s *Server) answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	if err := json.NewEncoder(w).Encode(body); err != nil {
-		s.logger.WithError(err).Debug("operator: answer not sent")
+func (s *Server) answer(r *fasthttp.RequestCtx, status int, body any) {
+	r.SetStatusCode(status)
+	r.SetContentType("application/json")
+	if err := json.NewEncoder(r).Encode(body); err != nil {
+		s.logger.WithError(err).Error("operator: answer not encoded")
 	}
 }
 
 // fail answers with an error.
-func (s *Server) fail(w http.ResponseWriter, err error) {
+func (s *Server) fail(r *fasthttp.RequestCtx, err error) {
 	var (
 		problems    customer.Problems
 		conflict    *platform.ConflictError
@@ -148,18 +219,18 @@
 		unsent      *platform.UnsentError
 		unknown     *platform.UnknownError
 	)
-	body, status := wireError{Code: codeBadRequest, Message: err.Error()}, http.StatusBadRequest
+	body, status := wireError{Code: codeBadRequest, Message: err.Error()}, fasthttp.StatusBadRequest
 	switch {
 	case errors.As(err, &problems):
 		body.Code, body.Problems = codeProblems, problems
 	case errors.As(err, &conflict):
-		body.Code, body.Current, status = codeConflict, conflict.Current, http.StatusConflict
+		body.Code, body.Current, status = codeConflict, conflict.Current, fasthttp.StatusConflict
 	case errors.As(err, &unknown):
-		body.Code, status = codeUnknown, http.StatusGatewayTimeout
+		body.Code, status = codeUnknown, fasthttp.StatusGatewayTimeout
 	case errors.As(err, &unavailable), errors.As(err, &unsent):
-		body.Code, status = codeUnavailable, http.StatusServiceUnavailable
+		body.Code, status = codeUnavailable, fasthttp.StatusServiceUnavailable
 	}
-	s.answer(w, status, body)
+	s.answer(r, status, body)
 }
 
 func newWireDocument(d platform.Document, content bool) wireDocument {
@@ -170,8 +241,8 @@
 	return w
 }
 
-func (s *Server) documents(w http.ResponseWriter, _ *http.Request) {
-	s.answer(w, http.StatusOK, wireDocuments(s.admin.Documents(), false))
+func (s *Server) documents(_ context.Context, r *fasthttp.RequestCtx, _ string) {
+	s.answer(r, fasthttp.StatusOK, wireDocuments(s.admin.Documents(), false))
 }
 
 func wireDocuments(documents []platform.Document, content bool) []wireDocument {
@@ -182,78 +253,80 @@
 	return list
 }
 
-func (s *Server) document(w http.ResponseWriter, r *http.Request) {
-	name := r.PathValue("name")
+func (s *Server) document(_ context.Context, r *fasthttp.RequestCtx, name string) {
 	d, ok := s.admin.Document(name)
 	if !ok {
-		s.answer(w, http.StatusNotFound, wireError{Code: codeNotFound, Message: "document " + name + " is not published"})
+		s.answer(r, fasthttp.StatusNotFound, wireError{Code: codeNotFound, Message: "document " + name + " is not published"})
 		return
 	}
-	s.answer(w, http.StatusOK, newWireDocument(d, true))
+	s.answer(r, fasthttp.StatusOK, newWireDocument(d, true))
 }
 
-func (s *Server) history(w http.ResponseWriter, r *http.Request) {
-	s.answer(w, http.StatusOK, wireDocuments(s.admin.History(r.PathValue("name")), true))
+func (s *Server) history(_ context.Context, r *fasthttp.RequestCtx, name string) {
+	s.answer(r, fasthttp.StatusOK, wireDocuments(s.admin.History(name), true))
 }
 
-func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
-	name := r.PathValue("name")
-	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+func (s *Server) publish(ctx context.Context, r *fasthttp.RequestCtx, name string) {
+	base, err := strconv.ParseUint(string(r.QueryArgs().Peek("base")), 10, 64)
 	if err != nil {
-		s.fail(w, errors.New("base: allowed is the revision that the content was made from, 0 for a new document"))
+		s.fail(r, errors.New("base: allowed is the revision that the content was made from, 0 for a new document"))
 		return
 	}
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, documentLimit))
+	content, err := readBody(r)
 	if err != nil {
-		s.fail(w, errors.Wrap(err, "read document"))
+		s.fail(r, errors.Wrap(err, "read document"))
 		return
 	}
 	if err := CheckDocument(name, content); err != nil {
-		s.fail(w, err)
+		s.fail(r, err)
 		return
 	}
-	revision, err := s.admin.Publish(r.Context(), name, base, content)
+	revision, err := s.admin.Publish(ctx, name, base, content)
 	if err != nil {
-		s.fail(w, err)
+		s.fail(r, err)
 		return
 	}
 	s.logger.Infof("operator: %s has revision %d", name, revision)
-	s.answer(w, http.StatusOK, wireRevision{Revision: revision})
+	s.answer(r, fasthttp.StatusOK, wireRevision{Revision: revision})
 }
 
-func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+func (s *Server) drain(ctx context.Context, r *fasthttp.RequestCtx, target string) {
 	var in wireDrain
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, documentLimit)).Decode(&in); err != nil {
-		s.fail(w, errors.Wrap(err, "decode drain"))
+	body, err := readBody(r)
+	if err == nil {
+		err = json.Unmarshal(body, &in)
+	}
+	if err != nil {
+		s.fail(r, errors.Wrap(err, "decode drain"))
 		return
 	}
-	d, err := s.admin.SetDrain(r.Context(), r.PathValue("target"), in.Drained)
+	d, err := s.admin.SetDrain(ctx, target, in.Drained)
 	if err != nil {
-		s.fail(w, err)
+		s.fail(r, err)
 		return
 	}
 	s.logger.Infof("operator: drained is %v for %s, generation %d", d.Drained, d.Target, d.Generation)
-	s.answer(w, http.StatusOK, NewDrainStatus(d))
+	s.answer(r, fasthttp.StatusOK, NewDrainStatus(d))
 }
 
-func (s *Server) status(w http.ResponseWriter, r *http.Request) {
-	status, err := s.admin.Status(r.Context())
+func (s *Server) status(ctx context.Context, r *fasthttp.RequestCtx, _ string) {
+	status, err := s.admin.Status(ctx)
 	if err != nil {
-		s.fail(w, err)
+		s.fail(r, err)
 		return
 	}
-	s.answer(w, http.StatusOK, status)
+	s.answer(r, fasthttp.StatusOK, status)
 }
 
 // metrics answers in the Prometheus text format, or in JSON where the client asks for it.
-func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get("format") == "json" || strings.Contains(r.Header.Get("Accept"), "application/json") {
-		w.Header().Set("Content-Type", "application/json")
-		metrics.WriteJSONOnce(s.registry, w)
+func (s *Server) metrics(_ context.Context, r *fasthttp.RequestCtx, _ string) {
+	if string(r.QueryArgs().Peek("format")) == "json" || strings.Contains(string(r.Request.Header.Peek(fasthttp.HeaderAccept)), "application/json") {
+		r.SetContentType("application/json")
+		metrics.WriteJSONOnce(s.registry, r)
 		return
 	}
-	w.Header().Set("Content-Type", prometheusType)
-	if err := writePrometheus(w, s.registry); err != nil {
-		s.logger.WithError(err).Debug("operator: metrics not sent")
+	r.SetContentType(prometheusType)
+	if err := writePrometheus(r, s.registry); err != nil {
+		s.logger.WithError(err).Debug("operator: metrics not encoded")
 	}
 }
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -175,3 +175,44 @@
 		t.Errorf("JSON: %s, %v", asJSON, err)
 	}
 }
+
+// Guards against paths that reach the wrong call, bodies without a bound, and names that are not decoded.
+func TestRoutes(t *testing.T) {
+	a := &fakeAdmin{documents: map[string]platform.Document{"contract/a b": {Name: "contract/a b", Revision: 7}}}
+	c := NewClient(startServer(t, a, metrics.NewRegistry()), testToken)
+	defer c.Close()
+	long := bytes.Repeat([]byte(" "), documentLimit+1)
+	for _, tt := range []struct {
+		method, path string
+		body         []byte
+		status       int
+		text         string // of the answer or of the error
+	}{
+		{http.MethodGet, "/documents", nil, http.StatusOK, "["},
+		{http.MethodGet, "/documents/contract/a%20b", nil, http.StatusOK, `"revision":7`},
+		{http.MethodGet, "/documents/", nil, http.StatusNotFound, codeNotFound},
+		{http.MethodGet, "/status/x", nil, http.StatusNotFound, codeNotFound},
+		{http.MethodGet, "/history", nil, http.StatusNotFound, codeNotFound},
+		{http.MethodGet, "/drains/vm/x", nil, http.StatusMethodNotAllowed, "allowed is PUT"},
+		{http.MethodDelete, "/documents/fleet", nil, http.StatusMethodNotAllowed, "allowed is GET, PUT"},
+		{http.MethodPut, "/documents/fleet", nil, http.StatusBadRequest, "base: allowed is"},
+		{http.MethodPut, "/documents/fleet?base=0", long, http.StatusBadRequest, "body is longer than"},
+		{http.MethodPut, "/drains/vm/x", long, http.StatusBadRequest, "body is longer than"},
+		{http.MethodPut, "/drains/vm/x", []byte("{"), http.StatusBadRequest, "decode drain"},
+	} {
+		data, err := c.raw(t.Context(), tt.method, tt.path, tt.body)
+		status, text := http.StatusOK, string(data)
+		var e *APIError
+		if errors.As(err, &e) {
+			status, text = e.Status, e.Error()
+		} else if err != nil {
+			text = err.Error()
+		}
+		if status != tt.status || !strings.Contains(text, tt.text) {
+			t.Errorf("%s %s: status %d, %s; want %d, %s", tt.method, tt.path, status, text, tt.status, tt.text)
+		}
+	}
+	if a.drain.Generation != 0 {
+		t.Error("a refused call took effect")
+	}
+}
--- a/vm/stop.go
+++ b/vm/stop.go
@@ -42,6 +42,9 @@
 	if v.callerListen != nil {
 		v.callerListen.Close()
 	}
+	if v.operatorListen != nil {
+		v.operatorListen.Close() // Shutdown does not know a listener before Serve has begun
+	}
 	if v.operators != nil {
 		v.operators.Shutdown(v.ctx) // v.ctx has ended, so this closes the listener and does not wait
 	}
