vm: Show running calls of plain services and early refusals in the status

Counters in the status left out refusals that callers get before the request path, such as badKey; those of package caller are listed too, and counters at 0 are left out.

--- a/operator/admin.go
+++ b/operator/admin.go
@@ -40,7 +40,7 @@
 	Members      []MemberStatus    `json:"members"`
 	Endpoints    []EndpointStatus  `json:"endpoints"`
 	Sites        []SiteStatus      `json:"sites"`
-	Counters     map[string]int64  `json:"counters"` // of refusals and retries by reason
+	Counters     map[string]int64  `json:"counters"` // of refusals, retries and spills by reason, without those at 0
 }
 
 // DrainStatus is one drain register.
@@ -68,7 +68,7 @@
 	Drained        bool   `json:"drained"`
 	Known          bool   `json:"known"` // the fields below are set
 	Cold           bool   `json:"cold"`
-	Running        int    `json:"running"`
+	Running        int    `json:"running"` // requests; of a service, the calls of this VM only
 	Queue          int    `json:"queue"`
 	FreeTokens     int    `json:"freeTokens"`
 	Capacity       int    `json:"capacity"` // usable KV-cache memory in tokens
--- a/service/picker.go
+++ b/service/picker.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// Running returns how many calls of this VM run at an instance.
+func (p *Picker) Running(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if in := p.instances[name]; in != nil {
+		return in.running
+	}
+	return 0
+}
+
 func (p *Picker) instance(name string) *instance {
 	in := p.instances[name]
 	if in == nil {
--- a/vm/admin.go
+++ b/vm/admin.go
@@ -84,7 +84,7 @@
 		for _, spec := range specs {
 			all = append(all, operator.EndpointStatus{
 				Name: spec.Name, Kind: "service", Serves: spec.Service, Address: spec.Address,
-				Drained: w.snapshot.Drained(targetEndpoint(spec.Name)),
+				Drained: w.snapshot.Drained(targetEndpoint(spec.Name)), Known: true, Running: v.picker.Running(spec.Name),
 			})
 		}
 	}
@@ -92,11 +92,12 @@
 	return all
 }
 
-// values returns the counters of refusals, retries and spills by name.
+// values returns the counters of refusals, retries and spills that are not 0. Those of package caller include requests that are
+// refused before they reach the request path, such as ones with an unknown key.
 func (c *counters) values() map[string]int64 {
 	values := make(map[string]int64)
 	c.registry.Each(func(name string, m any) {
-		if n, ok := m.(metrics.Counter); ok && isReasonCounter(name) {
+		if n, ok := m.(metrics.Counter); ok && n.Count() > 0 && isReasonCounter(name) {
 			values[name] = n.Count()
 		}
 	})
@@ -104,7 +105,7 @@
 }
 
 func isReasonCounter(name string) bool {
-	for _, prefix := range []string{"refusal.", "retry.", "spill."} {
+	for _, prefix := range []string{"caller.refused.", "refusal.", "retry.", "spill."} {
 		if strings.HasPrefix(name, prefix) {
 			return true
 		}
--- a/vm/listen.go
+++ b/vm/listen.go
@@ -56,6 +56,14 @@
 // CallerAddress returns the address of the callers' listener.
 func (v *VM) CallerAddress() string { return v.callerListen.Addr().String() }
 
+// OperatorAddress returns the address of the operators' API, or "" where it is off.
+func (v *VM) OperatorAddress() string {
+	if v.operatorListen == nil {
+		return ""
+	}
+	return v.operatorListen.Addr().String()
+}
+
 // PeerAddress returns the address of the peer listener.
 func (v *VM) PeerAddress() string { return v.node.Address() }
 
--- a/vm/tls_test.go
+++ b/vm/tls_test.go
@@ -5,7 +5,6 @@
 	"crypto/x509"
 	"fmt"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"testing"
@@ -15,8 +14,6 @@
 	"goldcrestpath/vm"
 )
 
-const operatorToken = "0123456789abcdef"
-
 // tlsVM starts a VM of data centre a whose three listeners use TLS.
 func tlsVM(t *testing.T, ca *standin.Authority, place, peer, contact, api, log string) *vm.VM {
 	t.Helper()
@@ -24,23 +21,11 @@
 	if err := ca.Write(dir); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(filepath.Join(dir, "token"), []byte(operatorToken), 0o600); err != nil {
-		t.Fatal(err)
-	}
 	const files = "tlsCertificate = certificate.pem\ntlsKey = key.pem\n"
 	text := fmt.Sprintf("[vm]\nplace = %s\ndataCentre = a\nstopDelay = 10ms\n[caller]\nlisten = %s\n"+files+
 		"[peer]\nlisten = %s\ncontacts = %s\ntlsAuthority = authority.pem\n"+files+
 		"[operator]\nlisten = %s\ntokenFile = token\n"+files+"[platform]\nlog = %s\n", place, freeAddress(t), peer, contact, api, log)
-	settings, err := operator.ParseSettings(filepath.Join(dir, "settings.ini"), []byte(text))
-	if err != nil {
-		t.Fatal(err)
-	}
-	v, err := vm.New(settings)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(v.Close)
-	return v
+	return launch(t, dir, text)
 }
 
 // dialPeer opens TLS to a peer listener and reads. TLS 1.3 tells a client only then that its certificate is refused.
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -117,12 +117,19 @@
 
 func startVM(t *testing.T, place, peer, log string, contacts []string) *vm.VM {
 	t.Helper()
-	dir := t.TempDir()
-	if err := os.WriteFile(filepath.Join(dir, "token"), []byte("0123456789abcdef"), 0o600); err != nil {
-		t.Fatal(err)
-	}
 	text := fmt.Sprintf("[vm]\nplace = %s\ndataCentre = a\nstopDelay = 10ms\n[caller]\nlisten = %s\n[peer]\nlisten = %s\ncontacts = %s\n"+
 		"[operator]\nlisten = %s\ntokenFile = token\n[platform]\nlog = %s\n", place, freeAddress(t), peer, strings.Join(contacts, ", "), freeAddress(t), log)
+	return launch(t, t.TempDir(), text)
+}
+
+const operatorToken = "0123456789abcdef"
+
+// launch starts a VM with settings in a directory that may hold certificates, and writes the token file there.
+func launch(t *testing.T, dir, text string) *vm.VM {
+	t.Helper()
+	if err := os.WriteFile(filepath.Join(dir, "token"), []byte(operatorToken), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	settings, err := operator.ParseSettings(filepath.Join(dir, "settings.ini"), []byte(text))
 	if err != nil {
 		t.Fatal(err)
