--- a/cmd/goldlab/mesh.go
+++ b/cmd/goldlab/mesh.go
@@ -91,6 +91,9 @@
 	return engine.Report{Instance: 1, Sequence: e.sequence.Add(1), Model: s.Model, KVTokens: s.KVTokens, Sequences: s.Sequences}, nil
 }
 
+// Cancel implements entry.Endpoints.
+func (e *idleEndpoints) Cancel(context.Context, engine.Spec, string) error { return nil }
+
 // CancelHolder implements entry.Endpoints.
 func (e *idleEndpoints) CancelHolder(context.Context, engine.Spec, string, uint64) error { return nil }
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -361,6 +361,8 @@
 	ID     string `json:"id"`
 	Holder string `json:"holder"`
 	Tokens int    `json:"tokens"`
+
+	Reservation bool `json:"reservation"`
 }
 
 // Report fetches the load report.
--- a/engine/report.go
+++ b/engine/report.go
@@ -26,6 +26,8 @@
 	ID     string // the grant's ID
 	Holder string // place of the VM that started it
 	Tokens int    // reserved memory
+
+	Reservation bool // memory for a stream on another engine of the group
 }
 
 // MaxReportAge is the longest lag of a report behind the endpoint's state.
--- a/entry/options.go
+++ b/entry/options.go
@@ -33,6 +33,7 @@
 // Endpoints reaches the endpoints of this data centre.
 type Endpoints interface {
 	Report(ctx context.Context, s engine.Spec) (engine.Report, error)
+	Cancel(ctx context.Context, s engine.Spec, id string) error
 	CancelHolder(ctx context.Context, s engine.Spec, holder string, incarnation uint64) error
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -603,6 +603,8 @@
 	ID     string `json:"id"`
 	Holder string `json:"holder"`
 	Tokens int    `json:"tokens"`
+
+	Reservation bool `json:"reservation,omitempty"`
 }
 
 // takeReport records the load that calls see until the next report.
@@ -624,7 +626,7 @@
 		r.Streams = append(r.Streams, reportedStream{ID: id, Holder: s.holder, Tokens: s.tokens})
 	}
 	for id, v := range e.reservations {
-		r.Streams = append(r.Streams, reportedStream{ID: id, Holder: v.holder, Tokens: v.tokens})
+		r.Streams = append(r.Streams, reportedStream{ID: id, Holder: v.holder, Tokens: v.tokens, Reservation: true})
 	}
 	r.PrefillBacklog, _ = e.backlog()
 	e.report, e.reported = r, now
