--- a/standin/protocol_test.go
+++ b/standin/protocol_test.go
@@ -73,7 +73,7 @@
 		}
 	}
 	want := engine.Report{Instance: e.Instance(), Model: "small", Version: "1", Adapters: []string{}, Role: "mixed", KVTokens: 10_000,
-		KVUsed: 500, Sequences: 32, Streams: []engine.StreamReport{{ID: "r3", Holder: "jm-a/1", Tokens: 500}}}
+		KVUsed: 500, Sequences: 32, Streams: []engine.StreamReport{{ID: "r3", Holder: "jm-a/1", Tokens: 500, Reservation: true}}}
 	report.Sequence, report.Age = 0, 0
 	if diff := cmp.Diff(want, report); diff != "" {
 		t.Error(diff)
