standin: Keep free ports apart between test processes

Processes took ports from ranges that can overlap. A process now holds the first port of each block that it uses.

--- a/standin/address.go
+++ b/standin/address.go
@@ -16,31 +16,46 @@
 	lastPort  = 32_000
 )
 
-// portsPerProcess is the distance between the first ports of processes with neighbouring IDs. go test starts the test processes of
-// several packages together, and the integration tests take several hundred ports.
-const portsPerProcess = 1_009
+// blockPorts is the number of ports that a process takes at a time. It holds the first port of each of its blocks, so that a port
+// which it uses again after a restart cannot go to another test process: VMs of two sites would then talk to each other.
+const blockPorts = 500
 
-var nextPort = struct {
+var ports struct {
 	sync.Mutex
-	offset int
-}{offset: os.Getpid() * portsPerProcess}
+	guards []net.Listener // first ports of this process's blocks, open until the process ends
+	next   int
+	end    int
+}
 
-// FreeAddress returns a loopback address that nothing listens on. It hands out each address once in a process; processes start at
-// different ports.
+// FreeAddress returns a loopback address that nothing listens on. It hands out each address once in a process, and never one that
+// another process has.
 func FreeAddress() (string, error) {
-	nextPort.Lock()
-	defer nextPort.Unlock()
-	for range lastPort - firstPort {
-		nextPort.offset++
-		address := "127.0.0.1:" + strconv.Itoa(firstPort+nextPort.offset%(lastPort-firstPort))
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+	ports.Lock()
+	defer ports.Unlock()
+	for {
+		for ports.next < ports.end {
+			address := "127.0.0.1:" + strconv.Itoa(ports.next)
+			ports.next++
+			if ln, err := net.Listen("tcp", address); err == nil {
+				return address, ln.Close()
+			}
+		}
+		if !takeBlock() {
+			return "", errors.New("no free loopback port")
 		}
-		if err := ln.Close(); err != nil {
-			return "", err
+	}
+}
+
+// takeBlock takes the first block of ports that no process holds. Processes begin the search at different blocks.
+func takeBlock() bool {
+	const blocks = (lastPort - firstPort) / blockPorts
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*blockPorts
+		if ln, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(first)); err == nil {
+			ports.guards = append(ports.guards, ln)
+			ports.next, ports.end = first+1, first+blockPorts
+			return true
 		}
-		return address, nil
 	}
-	return "", errors.New("no free loopback port")
+	return false
 }
