--- a/http1/http1.go
+++ b/http1/http1.go
@@ -126,6 +126,10 @@
 		if err := c.a.ctx.Err(); err != nil {
 			return 0, err
 		}
+		// After a pause of the process this can run before the timer that ends ctx.
+		if d, ok := c.a.ctx.Deadline(); ok && !time.Now().Before(d) {
+			return 0, context.DeadlineExceeded
+		}
 		if c.a.ready != nil {
 			if err := c.a.ready(); err != nil {
 				return 0, err
