integration: Use toxiproxy as the fault-injecting proxy

Change: the fronts are embedded toxiproxy proxies with two toxics of our own, one that holds a direction and one that breaks connections. The library's timeout toxic closes connections when it is removed, which a healed partition does not. Tried and dropped: a breaking toxic behind a held direction; removing it hung until the test's time limit. Stopping and starting the proxy drops held data instead.

--- a/integration/network_test.go
+++ b/integration/network_test.go
@@ -1,180 +1,130 @@
 package integration
 
 import (
+	"fmt"
+	"io"
 	"net"
-	"sync"
+	"strings"
+	"sync/atomic"
 	"testing"
 
+	"github.com/Shopify/toxiproxy"
+	"github.com/Shopify/toxiproxy/toxics"
+	"github.com/sirupsen/logrus"
+
 	"goldcrestpath/standin"
 )
 
-// front is the address under which VMs reach one node. It carries every connection to the node and can hold the data in either
-// direction, as a network does that drops packets, or reset its connections.
-type front struct {
-	node, target string
-	ln           net.Listener
-	wg           sync.WaitGroup
-
-	mu      sync.Mutex
-	held    [2]bool       // by direction
-	changed chan struct{} // closed by the next change of held
-	links   map[*link]struct{}
-	closed  bool
+// The toxics of this package extend those of the proxy: its timeout toxic closes the connections when it is removed, but a partition
+// that heals does not.
+const (
+	typeHold  = "hold"
+	typeBreak = "break"
+)
+
+func init() {
+	logrus.SetOutput(io.Discard) // the proxy logs every connection
+	toxics.Register(typeHold, new(holdToxic))
+	toxics.Register(typeBreak, new(breakToxic))
 }
 
-// direction is one of the two ways through a front.
-type direction int
+// holdToxic holds the data of one direction, as a network does that drops packets.
+type holdToxic struct{}
 
-const (
-	toNode direction = iota
-	fromNode
-)
+// Pipe implements toxics.Toxic.
+func (*holdToxic) Pipe(stub *toxics.ToxicStub) { <-stub.Interrupt }
+
+// broken counts the connections that breakToxic closed.
+var broken atomic.Int64
 
-// link is one connection through a front.
-type link struct {
-	client, server net.Conn
-	once           sync.Once
-	closed         chan struct{}
+// breakToxic closes connections.
+type breakToxic struct{}
+
+// Pipe implements toxics.Toxic.
+func (*breakToxic) Pipe(stub *toxics.ToxicStub) {
+	broken.Add(1)
+	stub.Close()
 }
 
-// close ends both connections. After a reset the client sees an error and no end, and data that is held is lost.
-func (l *link) close(reset bool) {
-	l.once.Do(func() {
-		close(l.closed)
-		if reset {
-			l.client.(*net.TCPConn).SetLinger(0)
-			l.server.(*net.TCPConn).SetLinger(0)
-		}
-		l.client.Close()
-		l.server.Close()
-	})
+// front is the address under which VMs reach one node. A fault-injecting proxy carries every connection to the node.
+type front struct {
+	t     *testing.T
+	node  string
+	proxy *toxiproxy.Proxy
 }
 
+// direction is one of the two ways through a front, in the proxy's words.
+type direction string
+
+const (
+	toNode   direction = "upstream"
+	fromNode direction = "downstream"
+)
+
+// maxTries bounds the choices of a free port.
+const maxTries = 20
+
 // newFront starts a front that leads to a node at target.
 func newFront(t *testing.T, node, target string) *front {
 	t.Helper()
-	ln := reserve(t)
-	f := &front{node: node, target: target, ln: ln, changed: make(chan struct{}), links: map[*link]struct{}{}}
-	f.wg.Add(1)
-	go func() {
-		defer f.wg.Done()
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			f.wg.Add(1)
-			go func() {
-				defer f.wg.Done()
-				f.connect(c)
-			}()
+	f := &front{t: t, node: node, proxy: toxiproxy.NewProxy()}
+	f.proxy.Name, f.proxy.Upstream = node, target
+	for tries := 1; ; tries++ {
+		ln := reserve(t)
+		f.proxy.Listen = ln.Addr().String()
+		ln.Close()
+		if err := f.proxy.Start(); err == nil {
+			break
+		} else if tries == maxTries {
+			t.Fatal(err) // tests of other packages took each port between its choice and its use
 		}
-	}()
-	t.Cleanup(f.close)
+	}
+	t.Cleanup(func() {
+		f.proxy.Toxics.ResetToxics()
+		f.proxy.Stop()
+	})
 	return f
 }
 
-func (f *front) address() string { return f.ln.Addr().String() }
-
-func (f *front) close() {
-	f.ln.Close()
-	f.mu.Lock()
-	f.closed = true
-	f.mu.Unlock()
-	f.reset()
-	f.wg.Wait()
-}
+func (f *front) address() string { return f.proxy.Listen }
 
-func (f *front) connect(c net.Conn) {
-	server, err := net.Dial("tcp", f.target)
-	if err != nil {
-		c.Close()
-		return
-	}
-	l := &link{client: c, server: server, closed: make(chan struct{})}
-	f.mu.Lock()
-	f.links[l] = struct{}{}
-	closed := f.closed
-	f.mu.Unlock()
-	if closed {
-		l.close(true)
+// hold holds the data in the given directions.
+func (f *front) hold(directions ...direction) {
+	for _, d := range directions {
+		f.add(typeHold, d)
 	}
-	f.wg.Add(1)
-	go func() {
-		defer f.wg.Done()
-		f.pass(l, server, c, toNode)
-	}()
-	f.pass(l, c, server, fromNode)
-	f.mu.Lock()
-	delete(f.links, l)
-	f.mu.Unlock()
 }
 
-// pass copies data in one direction until either end closes. The end of a connection travels as data does, so it is held too.
-func (f *front) pass(l *link, to, from net.Conn, d direction) {
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		if !f.await(l, d) {
-			return
-		}
-		if n > 0 {
-			if _, e := to.Write(buf[:n]); err == nil {
-				err = e
-			}
-		}
-		if err != nil {
-			l.close(false)
-			return
-		}
-	}
-}
+// heal lets held data pass.
+func (f *front) heal() { f.proxy.Toxics.ResetToxics() }
 
-// await waits until data may pass and returns false where the link was closed meanwhile.
-func (f *front) await(l *link, d direction) bool {
-	for {
-		f.mu.Lock()
-		held, changed := f.held[d], f.changed
-		f.mu.Unlock()
-		if !held {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-l.closed:
-			return false
-		}
+// reset breaks all connections. It returns how many it broke, counted over the test process, so that other tests can add to it.
+func (f *front) reset() int {
+	before := broken.Load()
+	if err := f.proxy.Toxics.RemoveToxic(f.add(typeBreak, fromNode)); err != nil {
+		f.t.Error(err)
 	}
+	return int(broken.Load() - before)
 }
 
-// hold holds the data in the given directions.
-func (f *front) hold(directions ...direction) { f.set(true, directions...) }
-
-// heal lets held data pass.
-func (f *front) heal() { f.set(false, toNode, fromNode) }
-
-func (f *front) set(held bool, directions ...direction) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, d := range directions {
-		f.held[d] = held
+// drop closes all connections. Data that is held is lost.
+func (f *front) drop() {
+	f.proxy.Stop()
+	if err := f.proxy.Start(); err != nil {
+		f.t.Error(err)
 	}
-	close(f.changed)
-	f.changed = make(chan struct{})
 }
 
-// reset resets all connections and returns their number.
-func (f *front) reset() int {
-	f.mu.Lock()
-	var links []*link
-	for l := range f.links {
-		links = append(links, l)
+// add adds a toxic and returns its name.
+func (f *front) add(kind string, d direction) string {
+	name := fmt.Sprintf("%s-%s", kind, d)
+	if f.proxy.Toxics.GetToxic(name) != nil {
+		return name
 	}
-	f.mu.Unlock()
-	for _, l := range links {
-		l.close(true)
+	if _, err := f.proxy.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q}`, name, kind, d))); err != nil {
+		f.t.Error(err)
 	}
-	return len(links)
+	return name
 }
 
 // reserve listens on a free port below the ephemeral range. Test processes of other packages choose ports at the same time, so a
--- a/integration/once_test.go
+++ b/integration/once_test.go
@@ -71,7 +71,7 @@
 	s.await("claim in the log", func() bool { return s.records() > before })
 	s.await("booking", func() bool { return s.bookings.Count("killed") == ran })
 	s.vms[0].kill()
-	s.fronts["booking-a"].reset()
+	s.fronts["booking-a"].drop()
 	s.fronts["booking-a"].heal()
 	second := s.vms[1].book("killed", 1)
 	if second.Status != standin.Failed || second.Verdict != "mayHaveRun" {
