vm: Parse only the documents that changed

A contract that does not parse took its customer out of force. Change: a view takes unchanged documents from the one before it, and the last good content of a document stays in force.

--- a/vm/configuration.go
+++ b/vm/configuration.go
@@ -29,12 +29,9 @@
 
 // applyConfiguration derives a view from the newest snapshot and passes the fleet and the customers' quotas to the node.
 func (v *VM) applyConfiguration() {
-	w, err := newView(v.dataCentre, v.store.Snapshot())
+	w, err := newView(v.dataCentre, v.store.Snapshot(), v.view())
 	if err != nil {
-		v.logger.WithError(err).Error("configuration: parts were left out")
-	}
-	if old := v.view(); w.fleet == nil {
-		w.keepFleet(old)
+		v.logger.WithError(err).Error("configuration: the last good content of some documents stays in force")
 	}
 	v.current.Store(w)
 	v.checkPlace(w.snapshot)
--- a/vm/view.go
+++ b/vm/view.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"bytes"
 	"sort"
 
 	"goldcrestpath/customer"
@@ -16,8 +17,10 @@
 	snapshot   *platform.Snapshot
 	fleet      *operator.Fleet
 	revision   uint64 // of the fleet document
+	source     []byte // content of the fleet document that fleet was parsed from
 	book       *customer.Book
 	contracts  map[string]*customer.Contract
+	parsed     map[string]parsedContract // by document
 
 	engines   map[string][]engine.Spec           // by model, in this data centre
 	inService map[string][]engine.Spec           // engines without the drained ones
@@ -26,21 +29,28 @@
 	offers    map[string]map[string]service.Spec // data centre -> service -> one instance
 }
 
-// newView derives a view from a snapshot. A contract that does not parse is left out and returned as a problem: publishing checks it,
-// so it can only come from another version of the program.
-func newView(dataCentre string, s *platform.Snapshot) (*view, error) {
+// parsedContract is a contract with the document content that it was parsed from.
+type parsedContract struct {
+	content  []byte
+	contract *customer.Contract
+}
+
+// newView derives a view from a snapshot. What did not change since old, which may be nil, is taken from it: a fleet of 10,000 engines
+// takes 0.2 s to parse. A document that does not parse is returned as a problem, and its last good content stays in force. Publishing
+// checks documents, so that it can only come from another version of the program.
+func newView(dataCentre string, s *platform.Snapshot, old *view) (*view, error) {
+	if old == nil {
+		old = &view{}
+	}
 	w := &view{
 		dataCentre: dataCentre,
 		snapshot:   s,
 		contracts:  make(map[string]*customer.Contract),
-		engines:    make(map[string][]engine.Spec),
-		services:   make(map[string][]service.Spec),
-		models:     make(map[string]map[string]bool),
-		offers:     make(map[string]map[string]service.Spec),
+		parsed:     make(map[string]parsedContract),
 	}
 	var problems customer.Problems
-	problems = append(problems, w.readContracts()...)
-	problems = append(problems, w.readFleet()...)
+	problems = append(problems, w.readContracts(old)...)
+	problems = append(problems, w.readFleet(old)...)
 	w.selectInService()
 	if len(problems) > 0 {
 		return w, problems
@@ -48,41 +58,74 @@
 	return w, nil
 }
 
-func (w *view) readContracts() customer.Problems {
+func (w *view) readContracts(old *view) customer.Problems {
 	var problems customer.Problems
 	var contracts []*customer.Contract
 	for _, d := range w.snapshot.Documents() {
 		if !isContract(d.Name) {
 			continue
 		}
-		c, err := customer.ParseContract(d.Name, d.Content)
-		if err != nil {
-			problems = append(problems, asProblems(d.Name, err)...)
-			continue
+		p, known := old.parsed[d.Name]
+		if !known || !bytes.Equal(p.content, d.Content) {
+			c, err := customer.ParseContract(d.Name, d.Content)
+			if err == nil {
+				p, known = parsedContract{d.Content, c}, true
+			} else {
+				problems = append(problems, asProblems(d.Name, err)...)
+			}
+		}
+		if known {
+			w.parsed[d.Name] = p
+			w.contracts[p.contract.Name()] = p.contract
+			contracts = append(contracts, p.contract)
 		}
-		w.contracts[c.Name()] = c
-		contracts = append(contracts, c)
 	}
 	book, err := customer.NewBook(contracts)
 	if err != nil {
 		problems = append(problems, asProblems("contracts", err)...)
 		book, _ = customer.NewBook(nil)
+		if old.book != nil {
+			book = old.book
+		}
 	}
 	w.book = book
 	return problems
 }
 
-func (w *view) readFleet() customer.Problems {
+func (w *view) readFleet(old *view) customer.Problems {
 	d, ok := w.snapshot.Document(platform.FleetDocument)
 	if !ok {
+		w.keepFleet(old)
+		return nil
+	}
+	if bytes.Equal(d.Content, old.source) {
+		w.keepFleet(old)
+		w.revision = d.Revision
 		return nil
 	}
 	fleet, err := operator.ParseFleet(d.Name, d.Content)
 	if err != nil {
+		w.keepFleet(old)
 		return asProblems(d.Name, err)
 	}
-	w.fleet, w.revision = fleet, d.Revision
-	for _, s := range fleet.Engines() {
+	w.fleet, w.revision, w.source = fleet, d.Revision, d.Content
+	w.indexFleet()
+	return nil
+}
+
+// keepFleet takes over the fleet of an earlier view.
+func (w *view) keepFleet(old *view) {
+	w.fleet, w.revision, w.source = old.fleet, old.revision, old.source
+	w.engines, w.services, w.models, w.offers = old.engines, old.services, old.models, old.offers
+}
+
+// indexFleet lists what the fleet serves by model, service and data centre.
+func (w *view) indexFleet() {
+	w.engines = make(map[string][]engine.Spec)
+	w.services = make(map[string][]service.Spec)
+	w.models = make(map[string]map[string]bool)
+	w.offers = make(map[string]map[string]service.Spec)
+	for _, s := range w.fleet.Engines() {
 		if w.models[s.DataCentre] == nil {
 			w.models[s.DataCentre] = make(map[string]bool)
 		}
@@ -91,7 +134,7 @@
 			w.engines[s.Model] = append(w.engines[s.Model], s)
 		}
 	}
-	for _, s := range fleet.Services() {
+	for _, s := range w.fleet.Services() {
 		if w.offers[s.DataCentre] == nil {
 			w.offers[s.DataCentre] = make(map[string]service.Spec)
 		}
@@ -100,7 +143,6 @@
 			w.services[s.Service] = append(w.services[s.Service], s)
 		}
 	}
-	return nil
 }
 
 // drained says whether operators have taken a data centre out of service.
@@ -189,9 +231,3 @@
 	sort.Strings(names)
 	return names
 }
-
-// keepFleet takes over the fleet of an earlier view, where the newer document does not parse.
-func (w *view) keepFleet(old *view) {
-	w.fleet, w.revision, w.engines, w.services, w.models, w.offers = old.fleet, old.revision, old.engines, old.services, old.models, old.offers
-	w.selectInService()
-}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -145,7 +145,7 @@
 	v.weights = platform.NewWeightStore(v.settings.WeightStoreAddress())
 	v.orders = newOrders(v)
 	v.vmList = platform.NewVMList(v.settings.VMListAddress())
-	empty, _ := newView(v.dataCentre, v.store.Snapshot())
+	empty, _ := newView(v.dataCentre, v.store.Snapshot(), nil)
 	v.current.Store(empty)
 	if err := v.startPeer(); err != nil {
 		return err
