goldlab: Show VMs in the stand-ins' VM list

Cause: the list was empty, so a VM that was killed and restarted on the sample site never lent shares again and cold work was refused. Shown: kill -9 and restart of jm-a/1 on the sample site; it lends 6 s after its start and answers a completion.

--- a/cmd/goldlab/standins.go
+++ b/cmd/goldlab/standins.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"goldcrestpath/standin"
@@ -35,6 +37,7 @@
 			&cli.FloatFlag{Name: "timeScale", Value: 1, Usage: "10 makes the engines ten times as fast"},
 			&cli.BoolFlag{Name: "cold", Usage: "start the engines cold"},
 			&cli.FloatFlag{Name: "appendRate", Value: 300, Usage: "appends a second of the log"},
+			&cli.StringSliceFlag{Name: "vms", Value: []string{"jm-a/1=i-17", "jm-a/2=i-18"}, Usage: "PLACE=INSTANCE of each live VM in the VM list"},
 			&cli.DurationFlag{Name: "lag", Value: 5 * time.Second, Usage: "lag of the VM list"},
 			&cli.FloatFlag{Name: "weightRate", Value: 1e9, Usage: "bytes a second of the weight store"},
 		},
@@ -69,6 +72,15 @@
 	if err != nil {
 		return err
 	}
+	var vms []standin.ListedVM
+	for _, entry := range cmd.StringSlice("vms") {
+		place, instance, ok := strings.Cut(entry, "=")
+		if !ok {
+			return errors.Errorf("vms: %q is not PLACE=INSTANCE", entry)
+		}
+		vms = append(vms, standin.ListedVM{Place: place, Instance: instance, State: "live"})
+	}
+	list.Set(vms...)
 	started("vmList", list)
 	store, err := standin.NewWeightStore(address(), cmd.Float("weightRate"), time.Minute)
 	if err != nil {
