entry: Never take an unheard drained VM for the owner

Cause: a VM that just started counts places that it has not heard of as live, and so took a drained VM for the owner of an endpoint.

--- a/entry/node.go
+++ b/entry/node.go
@@ -337,7 +337,7 @@
 	fallback := ""
 	for _, place := range n.order(resource) {
 		if !n.members.Live(place) {
-			if n.starting && n.members.Unheard(place) {
+			if n.starting && n.members.Unheard(place) && !n.drained("vm/"+place) {
 				return place, true
 			}
 			continue
