--- /dev/null
+++ b/service/example_test.go
@@ -0,0 +1,24 @@
+package service_test
+
+import (
+	"fmt"
+
+	"goldcrestpath/service"
+)
+
+func ExampleIdempotent() {
+	spec := service.Spec{Service: "booking", Idempotent: []string{"PUT /rooms/"}}
+	for _, r := range []*service.Request{
+		{Method: "GET", Path: "/bookings"},
+		{Method: "POST", Path: "/bookings"},
+		{Method: "PUT", Path: "/rooms/7"},
+		{Method: "PUT", Path: "/rooms/7", Strict: true},
+	} {
+		fmt.Println(r.Method, r.Path, r.Strict, service.Idempotent(spec, r))
+	}
+	// Output:
+	// GET /bookings false true
+	// POST /bookings false false
+	// PUT /rooms/7 false true
+	// PUT /rooms/7 true false
+}
