goldlab: Measure control by configuration changes a second

Cause: the slopes covered members, endpoints, customers and grants, but the cost of configuration changes was only worked out from single calls.

--- a/cmd/goldlab/mesh.go
+++ b/cmd/goldlab/mesh.go
@@ -16,6 +16,7 @@
 
 	"goldcrestpath/engine"
 	"goldcrestpath/entry"
+	"goldcrestpath/platform"
 )
 
 const (
@@ -34,6 +35,7 @@
 	endpoints int
 	customers int     // active on every VM
 	rate      float64 // grants a second of each real VM
+	changes   int     // configuration changes a second in all
 	held      int     // grants in use on each real VM
 	remote    int     // places in other data centres
 	length    time.Duration
@@ -162,9 +164,17 @@
 		return countedConn{c, traffic}, nil
 	}
 	nodes := make([]*entry.Node, cfg.members)
+	var stores []*platform.Store
+	log := newMemoryLog()
 	for i := range nodes {
-		n, err := entry.NewNode(entry.Config{Place: places[i].Name, DataCentre: meshDataCentre, Incarnation: 1}, entry.WithListener(listeners[i]),
-			entry.WithDialer(dialer), entry.WithFirstStart(), entry.WithEndpoints(&idleEndpoints{}))
+		opts := []entry.Option{entry.WithListener(listeners[i]), entry.WithDialer(dialer), entry.WithFirstStart(), entry.WithEndpoints(&idleEndpoints{})}
+		if cfg.changes > 0 {
+			store := platform.NewStore(log)
+			defer store.Close()
+			stores = append(stores, store)
+			opts = append(opts, entry.WithSyncer(store))
+		}
+		n, err := entry.NewNode(entry.Config{Place: places[i].Name, DataCentre: meshDataCentre, Incarnation: 1}, opts...)
 		if err != nil {
 			return cost{}, err
 		}
@@ -185,6 +195,12 @@
 	if sim != nil {
 		wg.Go(func() { sim.run(ctx) })
 	}
+	for i, store := range stores {
+		wg.Go(func() { applyChanges(ctx, store, func() { nodes[i].SetFleet(places, specs, nil) }) })
+	}
+	if len(stores) > 0 {
+		wg.Go(func() { publishChanges(ctx, stores[0], cfg.changes) })
+	}
 	settle := settleFor
 	if cfg.simulated > 0 {
 		settle *= 3 // the connections to several hundred members
@@ -212,6 +228,36 @@
 	}, nil
 }
 
+// applyChanges calls apply after each change of the configuration.
+func applyChanges(ctx context.Context, store *platform.Store, apply func()) {
+	for {
+		select {
+		case <-store.Changed():
+			apply()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// publishChanges publishes new revisions of one contract at the given rate a second.
+func publishChanges(ctx context.Context, store *platform.Store, rate int) {
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	var revision uint64
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		content := fmt.Appendf(nil, "%-494d", revision) // as long as a contract
+		if r, err := store.Publish(ctx, platform.ContractPrefix+"customer-000", revision, content); err == nil {
+			revision = r
+		}
+	}
+}
+
 // useNode takes grants at the given rate, keeps the given number in use and reads the customers' parts.
 func useNode(ctx context.Context, cfg meshConfig, n *entry.Node, specs []engine.Spec, rnd *rand.Rand) {
 	var wg sync.WaitGroup
--- a/cmd/goldlab/slopes.go
+++ b/cmd/goldlab/slopes.go
@@ -114,6 +114,7 @@
 		{"grants, 6 VMs", "grant/s of a VM", []int{0, 25, 50, 100}, func(c *meshConfig, x int) { c.endpoints, c.rate = 24, float64(x) }},
 		{"grants in use, 6 VMs", "grant held by a VM", []int{0, 100, 200, 400}, func(c *meshConfig, x int) { c.endpoints, c.held = 24, x }},
 		{"customers, 6 VMs", "active customer", []int{0, 80, 160, 320}, func(c *meshConfig, x int) { c.customers = x }},
+		{"configuration, 6 VMs", "change/s", []int{1, 5, 10, 20}, func(c *meshConfig, x int) { c.changes = x }},
 	} {
 		slopes, err := sweep(ctx, s.name, s.size, s.sizes, func(x int) meshConfig {
 			cfg := base
