vm: Show queue, ledger and configuration revision in the metrics

Cause: /metrics had no figures of the ledgers that a VM keeps or of the applied configuration, although operators need both; status alone had them. Change: gauges summed over the owned engines and one for each document's revision, updated each second. TestStatusAndDrainOfService reads them from /metrics.

--- a/vm/status_test.go
+++ b/vm/status_test.go
@@ -76,5 +76,18 @@
 	if s.Revisions["fleet"] != 1 || s.Revisions["contract/team"] != 1 {
 		t.Errorf("revisions %v", s.Revisions)
 	}
+	waitFor(t, "gauges of the configuration and the ledgers", func() bool {
+		data, err := client.Metrics(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, line := range []string{"goldcrest_configuration_revision_fleet 1\n", "goldcrest_configuration_revision_contract_team 1\n",
+			"goldcrest_ledger_queue 0\n", "goldcrest_ledger_freeTokens 0\n"} {
+			if !strings.Contains(string(data), line) {
+				return false
+			}
+		}
+		return true
+	})
 	waitFor(t, "offset of the log's end", func() bool { return status().Offset == uint64(len(log.Records())) })
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -152,6 +152,7 @@
 	}
 	v.observer = newObserver(v)
 	v.wg.Go(v.followPlace)
+	v.wg.Go(v.followGauges)
 	v.wg.Go(v.followFreed)
 	v.wg.Go(func() { v.orders.run(v.ctx) })
 	v.wg.Add(2)
