oplog: Rename the package of the platform's log

The client of the log, its records and its state machine belong to the product and keep their code under a name of their own.

--- a/cmd/goldcrest/document.go
+++ b/cmd/goldcrest/document.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 func publishCommand() *cli.Command {
@@ -105,7 +105,7 @@
 	}
 }
 
-func printRevisions(w io.Writer, documents []platform.Document) error {
+func printRevisions(w io.Writer, documents []oplog.Document) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "DOCUMENT\tREVISION\tOFFSET\tTIME")
 	for _, d := range documents {
--- a/cmd/goldcrest/drain.go
+++ b/cmd/goldcrest/drain.go
@@ -9,7 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"goldcrestpath/operator"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 const (
@@ -33,7 +33,7 @@
 			if err != nil {
 				return err
 			}
-			if !platform.ValidTarget(args[0]) {
+			if !oplog.ValidTarget(args[0]) {
 				return usagef("target %q: allowed are dataCentre/NAME, vm/PLACE and endpoint/NAME", args[0])
 			}
 			var d operator.DrainStatus
--- a/cmd/goldcrest/main.go
+++ b/cmd/goldcrest/main.go
@@ -19,7 +19,7 @@
 	"github.com/urfave/cli/v3"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 // Exit codes.
@@ -50,7 +50,7 @@
 	}
 	var (
 		usage    *usageError
-		conflict *platform.ConflictError
+		conflict *oplog.ConflictError
 		problems customer.Problems
 	)
 	switch {
--- a/cmd/goldcrest/main_test.go
+++ b/cmd/goldcrest/main_test.go
@@ -17,7 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"goldcrestpath/operator"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 const testToken = "0123456789abcdef"
@@ -25,8 +25,8 @@
 // fakeVM keeps one document, and reports work on a drained VM for a number of status calls.
 type fakeVM struct {
 	mu       sync.Mutex
-	document platform.Document
-	drain    platform.Drain
+	document oplog.Document
+	drain    oplog.Drain
 	running  int
 }
 
@@ -34,29 +34,29 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if base != v.document.Revision {
-		return 0, &platform.ConflictError{Document: name, Base: base, Current: v.document.Revision}
+		return 0, &oplog.ConflictError{Document: name, Base: base, Current: v.document.Revision}
 	}
-	v.document = platform.Document{Name: name, Revision: base + 1, Content: content}
+	v.document = oplog.Document{Name: name, Revision: base + 1, Content: content}
 	return base + 1, nil
 }
 
-func (v *fakeVM) Document(string) (platform.Document, bool) {
+func (v *fakeVM) Document(string) (oplog.Document, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.document, v.document.Revision > 0
 }
 
-func (v *fakeVM) Documents() []platform.Document { return v.History("") }
+func (v *fakeVM) Documents() []oplog.Document { return v.History("") }
 
-func (v *fakeVM) History(string) []platform.Document {
+func (v *fakeVM) History(string) []oplog.Document {
 	d, _ := v.Document("")
-	return []platform.Document{d}
+	return []oplog.Document{d}
 }
 
-func (v *fakeVM) SetDrain(_ context.Context, target string, drained bool) (platform.Drain, error) {
+func (v *fakeVM) SetDrain(_ context.Context, target string, drained bool) (oplog.Drain, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.drain = platform.Drain{Target: target, Generation: v.drain.Generation + 1, Drained: drained}
+	v.drain = oplog.Drain{Target: target, Generation: v.drain.Generation + 1, Drained: drained}
 	return v.drain, nil
 }
 
--- a/cmd/goldlab/callcost.go
+++ b/cmd/goldlab/callcost.go
@@ -16,7 +16,7 @@
 	"goldcrestpath/engine"
 	"goldcrestpath/entry"
 	"goldcrestpath/operator"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 // timeCalls returns the processor time of one call in microseconds, the least of three runs of at least 20 ms each: other
@@ -76,8 +76,8 @@
 		{"apply a configuration (Node)", "member", []int{40, 79, 157, designMembers}, setFleetCall},
 		{"parse the fleet document", "engine", []int{500, 2_500, 5_000, designEngines}, func(n int, _ *closers) (func(), error) {
 			data := fleetDocument(n*designVMs/designEngines, n)
-			_, err := operator.ParseFleet(platform.FleetDocument, data)
-			return func() { _, _ = operator.ParseFleet(platform.FleetDocument, data) }, err
+			_, err := operator.ParseFleet(oplog.FleetDocument, data)
+			return func() { _, _ = operator.ParseFleet(oplog.FleetDocument, data) }, err
 		}},
 	} {
 		var points []point
@@ -265,20 +265,20 @@
 // stateCall returns what the store of one VM does for a changed contract: it appends the record, reads it back, applies it
 // and makes the new state ready for peers.
 func stateCall(n int, open *closers) (func(), error) {
-	store := platform.NewStore(newMemoryLog(), platform.WithCommitWindow(time.Microsecond))
+	store := oplog.NewStore(newMemoryLog(), oplog.WithCommitWindow(time.Microsecond))
 	open.add(store.Close)
 	ctx := context.Background()
-	if err := publishFirst(ctx, store, platform.FleetDocument, fleetDocument(designVMs, designEngines)); err != nil {
+	if err := publishFirst(ctx, store, oplog.FleetDocument, fleetDocument(designVMs, designEngines)); err != nil {
 		return nil, err
 	}
 	for i := range n {
-		if err := publishFirst(ctx, store, fmt.Sprintf("%scustomer-%03d", platform.ContractPrefix, i), contractDocument(i)); err != nil {
+		if err := publishFirst(ctx, store, fmt.Sprintf("%scustomer-%03d", oplog.ContractPrefix, i), contractDocument(i)); err != nil {
 			return nil, err
 		}
 	}
 	revision, content := uint64(1), contractDocument(0)
 	return func() {
-		if r, err := store.Publish(ctx, platform.ContractPrefix+"customer-000", revision, content); err == nil {
+		if r, err := store.Publish(ctx, oplog.ContractPrefix+"customer-000", revision, content); err == nil {
 			revision = r
 		}
 		store.Export()
@@ -286,10 +286,10 @@
 }
 
 // publishFirst waits until the store has read its log to the end.
-func publishFirst(ctx context.Context, store *platform.Store, document string, content []byte) error {
+func publishFirst(ctx context.Context, store *oplog.Store, document string, content []byte) error {
 	for {
 		_, err := store.Publish(ctx, document, 0, content)
-		var out *platform.UnavailableError
+		var out *oplog.UnavailableError
 		if !errors.As(err, &out) {
 			return err
 		}
@@ -306,7 +306,7 @@
 		return nil, err
 	}
 	open.add(node.Close)
-	fleet, err := operator.ParseFleet(platform.FleetDocument, fleetDocument(7*n, n*designEngines/designMembers))
+	fleet, err := operator.ParseFleet(oplog.FleetDocument, fleetDocument(7*n, n*designEngines/designMembers))
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/goldlab/memorylog.go
+++ b/cmd/goldlab/memorylog.go
@@ -5,46 +5,46 @@
 	"sync"
 	"time"
 
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 // memoryLog is a log in this process, so that a measurement of the store does not include HTTP.
 type memoryLog struct {
 	mu      sync.Mutex
-	entries []platform.Entry
+	entries []oplog.Entry
 	added   chan struct{} // closed and replaced by an append
 }
 
-var _ platform.Log = (*memoryLog)(nil)
+var _ oplog.Log = (*memoryLog)(nil)
 
 func newMemoryLog() *memoryLog { return &memoryLog{added: make(chan struct{})} }
 
-// Append implements platform.Log.
+// Append implements oplog.Log.
 func (l *memoryLog) Append(_ context.Context, records [][]byte) (uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	first := uint64(len(l.entries))
 	for i, r := range records {
-		l.entries = append(l.entries, platform.Entry{Offset: first + uint64(i), Data: r})
+		l.entries = append(l.entries, oplog.Entry{Offset: first + uint64(i), Data: r})
 	}
 	close(l.added)
 	l.added = make(chan struct{})
 	return first, nil
 }
 
-// Read implements platform.Log.
-func (l *memoryLog) Read(ctx context.Context, from uint64, n int) (platform.Batch, error) {
+// Read implements oplog.Log.
+func (l *memoryLog) Read(ctx context.Context, from uint64, n int) (oplog.Batch, error) {
 	wait := time.NewTimer(100 * time.Millisecond)
 	defer wait.Stop()
 	for {
 		l.mu.Lock()
 		next, added := uint64(len(l.entries)), l.added
-		var entries []platform.Entry
+		var entries []oplog.Entry
 		if from < next {
 			entries = append(entries, l.entries[from:min(next, from+uint64(n))]...)
 		}
 		l.mu.Unlock()
-		b := platform.Batch{Entries: entries, Next: next, Identity: "memory"}
+		b := oplog.Batch{Entries: entries, Next: next, Identity: "memory"}
 		if len(entries) > 0 {
 			return b, nil
 		}
@@ -53,7 +53,7 @@
 		case <-wait.C:
 			return b, nil
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return oplog.Batch{}, ctx.Err()
 		}
 	}
 }
--- a/cmd/goldlab/mesh.go
+++ b/cmd/goldlab/mesh.go
@@ -16,7 +16,7 @@
 
 	"goldcrestpath/engine"
 	"goldcrestpath/entry"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 const (
@@ -164,12 +164,12 @@
 		return countedConn{c, traffic}, nil
 	}
 	nodes := make([]*entry.Node, cfg.members)
-	var stores []*platform.Store
+	var stores []*oplog.Store
 	log := newMemoryLog()
 	for i := range nodes {
 		opts := []entry.Option{entry.WithListener(listeners[i]), entry.WithDialer(dialer), entry.WithFirstStart(), entry.WithEndpoints(&idleEndpoints{})}
 		if cfg.changes > 0 {
-			store := platform.NewStore(log)
+			store := oplog.NewStore(log)
 			defer store.Close()
 			stores = append(stores, store)
 			opts = append(opts, entry.WithSyncer(store))
@@ -229,7 +229,7 @@
 }
 
 // applyChanges calls apply after each change of the configuration.
-func applyChanges(ctx context.Context, store *platform.Store, apply func()) {
+func applyChanges(ctx context.Context, store *oplog.Store, apply func()) {
 	for {
 		select {
 		case <-store.Changed():
@@ -241,7 +241,7 @@
 }
 
 // publishChanges publishes new revisions of one contract at the given rate a second.
-func publishChanges(ctx context.Context, store *platform.Store, rate int) {
+func publishChanges(ctx context.Context, store *oplog.Store, rate int) {
 	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	var revision uint64
@@ -252,7 +252,7 @@
 			return
 		}
 		content := fmt.Appendf(nil, "%-494d", revision) // as long as a contract
-		if r, err := store.Publish(ctx, platform.ContractPrefix+"customer-000", revision, content); err == nil {
+		if r, err := store.Publish(ctx, oplog.ContractPrefix+"customer-000", revision, content); err == nil {
 			revision = r
 		}
 	}
--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 	"goldcrestpath/standin"
 )
 
@@ -50,7 +50,7 @@
 		wg.Wait()
 		winner := -1
 		for i, err := range errs {
-			var conflict *platform.ConflictError
+			var conflict *oplog.ConflictError
 			switch {
 			case err == nil && winner < 0 && revisions[i] == round+1:
 				winner = i
--- a/operator/admin.go
+++ b/operator/admin.go
@@ -5,21 +5,21 @@
 	"fmt"
 	"slices"
 
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 // Admin is what the operators' API needs of a VM. The VM's store offers the first five methods.
 type Admin interface {
-	// Publish returns the new revision. The error is a *platform.ConflictError where base is not the current revision.
+	// Publish returns the new revision. The error is a *oplog.ConflictError where base is not the current revision.
 	Publish(ctx context.Context, document string, base uint64, content []byte) (uint64, error)
 	// Document returns the newest revision that the VM knows.
-	Document(document string) (platform.Document, bool)
+	Document(document string) (oplog.Document, bool)
 	// Documents returns the newest revisions by name.
-	Documents() []platform.Document
+	Documents() []oplog.Document
 	// History returns the revisions that the VM has read, oldest first.
-	History(document string) []platform.Document
+	History(document string) []oplog.Document
 	// SetDrain changes a drain register.
-	SetDrain(ctx context.Context, target string, drained bool) (platform.Drain, error)
+	SetDrain(ctx context.Context, target string, drained bool) (oplog.Drain, error)
 	// Status describes this VM and what it knows of others.
 	Status(ctx context.Context) (Status, error)
 }
@@ -84,7 +84,7 @@
 }
 
 // NewDrainStatus returns a register as it stands in status output.
-func NewDrainStatus(d platform.Drain) DrainStatus { return DrainStatus(d) }
+func NewDrainStatus(d oplog.Drain) DrainStatus { return DrainStatus(d) }
 
 // Missing says what of a drain change is not done as far as this VM knows, or "" where all is done: the change is applied
 // here, and after a drain no work is running at the target.
@@ -99,11 +99,11 @@
 	if !d.Drained {
 		return ""
 	}
-	if (d.Target == platform.VMPrefix+s.Place || d.Target == platform.DataCentrePrefix+s.DataCentre) && s.Running > 0 {
+	if (d.Target == oplog.VMPrefix+s.Place || d.Target == oplog.DataCentrePrefix+s.DataCentre) && s.Running > 0 {
 		return fmt.Sprintf("%s has %d requests running", s.Place, s.Running)
 	}
 	for _, e := range s.Endpoints {
-		if d.Target == platform.EndpointPrefix+e.Name && e.Running > 0 {
+		if d.Target == oplog.EndpointPrefix+e.Name && e.Running > 0 {
 			return fmt.Sprintf("%s has %d requests running", e.Name, e.Running)
 		}
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"goldcrestpath/http1"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 // clientTimeout bounds one call of a client, above the server's own limit.
@@ -104,20 +104,20 @@
 	return nil, &APIError{Status: status, Code: e.Code, Message: e.Message, current: e.Current}
 }
 
-// Publish publishes a document and returns its revision. The error is a *platform.ConflictError where base is not the
+// Publish publishes a document and returns its revision. The error is a *oplog.ConflictError where base is not the
 // current revision, and of type customer.Problems where the content is not accepted.
 func (c *Client) Publish(ctx context.Context, document string, base uint64, content []byte) (uint64, error) {
 	var out wireRevision
 	err := c.call(ctx, fasthttp.MethodPut, fmt.Sprintf("/documents/%s?base=%d", escape(document), base), content, &out)
 	var e *APIError
 	if errors.As(err, &e) && e.Code == codeConflict {
-		return 0, &platform.ConflictError{Document: document, Base: base, Current: e.current}
+		return 0, &oplog.ConflictError{Document: document, Base: base, Current: e.current}
 	}
 	return out.Revision, err
 }
 
 // Document returns the newest revision of a document.
-func (c *Client) Document(ctx context.Context, document string) (platform.Document, error) {
+func (c *Client) Document(ctx context.Context, document string) (oplog.Document, error) {
 	var out wireDocument
 	err := c.call(ctx, fasthttp.MethodGet, "/documents/"+escape(document), nil, &out)
 	return out.document(), err
@@ -126,26 +126,26 @@
 // escape makes a name safe in a path. Its slashes stay.
 func escape(name string) string { return (&url.URL{Path: name}).EscapedPath() }
 
-func (w wireDocument) document() platform.Document {
-	return platform.Document{Name: w.Name, Revision: w.Revision, Offset: w.Offset, Time: w.Time, Content: w.Content}
+func (w wireDocument) document() oplog.Document {
+	return oplog.Document{Name: w.Name, Revision: w.Revision, Offset: w.Offset, Time: w.Time, Content: w.Content}
 }
 
 // Documents returns all documents without their content.
-func (c *Client) Documents(ctx context.Context) ([]platform.Document, error) {
+func (c *Client) Documents(ctx context.Context) ([]oplog.Document, error) {
 	return c.list(ctx, "/documents")
 }
 
 // History returns the revisions of a document that the VM has read, oldest first.
-func (c *Client) History(ctx context.Context, document string) ([]platform.Document, error) {
+func (c *Client) History(ctx context.Context, document string) ([]oplog.Document, error) {
 	return c.list(ctx, "/history/"+escape(document))
 }
 
-func (c *Client) list(ctx context.Context, path string) ([]platform.Document, error) {
+func (c *Client) list(ctx context.Context, path string) ([]oplog.Document, error) {
 	var out []wireDocument
 	if err := c.call(ctx, fasthttp.MethodGet, path, nil, &out); err != nil {
 		return nil, err
 	}
-	list := make([]platform.Document, len(out))
+	list := make([]oplog.Document, len(out))
 	for i, w := range out {
 		list[i] = w.document()
 	}
--- a/operator/document.go
+++ b/operator/document.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 // Kind is the kind of an INI file.
@@ -63,18 +63,18 @@
 
 // CheckDocument checks the content of a document before it is published. The error is of type customer.Problems.
 func CheckDocument(name string, content []byte) error {
-	if name == platform.FleetDocument {
+	if name == oplog.FleetDocument {
 		_, err := ParseFleet(name, content)
 		return err
 	}
-	if !platform.ValidDocument(name) {
-		return customer.Problems{{File: name, Allowed: "the documents " + platform.FleetDocument + " and " + platform.ContractPrefix + "NAME"}}
+	if !oplog.ValidDocument(name) {
+		return customer.Problems{{File: name, Allowed: "the documents " + oplog.FleetDocument + " and " + oplog.ContractPrefix + "NAME"}}
 	}
 	c, err := customer.ParseContract(name, content)
 	if err != nil {
 		return err
 	}
-	if want := strings.TrimPrefix(name, platform.ContractPrefix); c.Name() != want {
+	if want := strings.TrimPrefix(name, oplog.ContractPrefix); c.Name() != want {
 		return customer.Problems{{File: name, Section: "contract", Key: "name", Value: c.Name(), Allowed: "the name in the document's name, " + want}}
 	}
 	return nil
--- a/operator/server.go
+++ b/operator/server.go
@@ -17,7 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 const (
@@ -214,10 +214,10 @@
 func (s *Server) fail(r *fasthttp.RequestCtx, err error) {
 	var (
 		problems    customer.Problems
-		conflict    *platform.ConflictError
-		unavailable *platform.UnavailableError
-		unsent      *platform.UnsentError
-		unknown     *platform.UnknownError
+		conflict    *oplog.ConflictError
+		unavailable *oplog.UnavailableError
+		unsent      *oplog.UnsentError
+		unknown     *oplog.UnknownError
 	)
 	body, status := wireError{Code: codeBadRequest, Message: err.Error()}, fasthttp.StatusBadRequest
 	switch {
@@ -233,7 +233,7 @@
 	s.answer(r, status, body)
 }
 
-func newWireDocument(d platform.Document, content bool) wireDocument {
+func newWireDocument(d oplog.Document, content bool) wireDocument {
 	w := wireDocument{Name: d.Name, Revision: d.Revision, Offset: d.Offset, Time: d.Time}
 	if content {
 		w.Content = d.Content
@@ -245,7 +245,7 @@
 	s.answer(r, fasthttp.StatusOK, wireDocuments(s.admin.Documents(), false))
 }
 
-func wireDocuments(documents []platform.Document, content bool) []wireDocument {
+func wireDocuments(documents []oplog.Document, content bool) []wireDocument {
 	list := make([]wireDocument, len(documents))
 	for i, d := range documents {
 		list[i] = newWireDocument(d, content)
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -17,15 +17,15 @@
 	"github.com/rcrowley/go-metrics"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 const testToken = "0123456789abcdef"
 
 // fakeAdmin keeps one revision of each document.
 type fakeAdmin struct {
-	documents map[string]platform.Document
-	drain     platform.Drain
+	documents map[string]oplog.Document
+	drain     oplog.Drain
 	err       error
 }
 
@@ -37,25 +37,25 @@
 	case a.err != nil:
 		return 0, a.err
 	case base != current:
-		return 0, &platform.ConflictError{Document: name, Base: base, Current: current}
+		return 0, &oplog.ConflictError{Document: name, Base: base, Current: current}
 	}
-	a.documents[name] = platform.Document{Name: name, Revision: base + 1, Content: content}
+	a.documents[name] = oplog.Document{Name: name, Revision: base + 1, Content: content}
 	return base + 1, nil
 }
 
-func (a *fakeAdmin) Document(name string) (platform.Document, bool) {
+func (a *fakeAdmin) Document(name string) (oplog.Document, bool) {
 	d, ok := a.documents[name]
 	return d, ok
 }
 
-func (a *fakeAdmin) Documents() []platform.Document { return a.History("fleet") }
+func (a *fakeAdmin) Documents() []oplog.Document { return a.History("fleet") }
 
-func (a *fakeAdmin) History(name string) []platform.Document {
-	return []platform.Document{a.documents[name]}
+func (a *fakeAdmin) History(name string) []oplog.Document {
+	return []oplog.Document{a.documents[name]}
 }
 
-func (a *fakeAdmin) SetDrain(_ context.Context, target string, drained bool) (platform.Drain, error) {
-	a.drain = platform.Drain{Target: target, Generation: a.drain.Generation + 1, Drained: drained}
+func (a *fakeAdmin) SetDrain(_ context.Context, target string, drained bool) (oplog.Drain, error) {
+	a.drain = oplog.Drain{Target: target, Generation: a.drain.Generation + 1, Drained: drained}
 	return a.drain, nil
 }
 
@@ -87,16 +87,16 @@
 
 // Guards against errors that lose their type, their current revision or their findings between server and client.
 func TestPublishOverHTTP(t *testing.T) {
-	a := &fakeAdmin{documents: map[string]platform.Document{}}
+	a := &fakeAdmin{documents: map[string]oplog.Document{}}
 	c := NewClient(startServer(t, a, metrics.NewRegistry()), testToken)
 	defer c.Close()
 	contract := readSample(t, "contract.ini")
 	if revision, err := c.Publish(t.Context(), "contract/deskTeam", 0, contract); err != nil || revision != 1 {
 		t.Fatalf("publish: revision %d, %v", revision, err)
 	}
-	var conflict *platform.ConflictError
+	var conflict *oplog.ConflictError
 	_, err := c.Publish(t.Context(), "contract/deskTeam", 0, contract)
-	if want := (platform.ConflictError{Document: "contract/deskTeam", Current: 1}); !errors.As(err, &conflict) || *conflict != want {
+	if want := (oplog.ConflictError{Document: "contract/deskTeam", Current: 1}); !errors.As(err, &conflict) || *conflict != want {
 		t.Errorf("publish on an old base: %v", err)
 	}
 	var problems customer.Problems
@@ -114,7 +114,7 @@
 	if _, err := c.Document(t.Context(), "fleet"); !errors.As(err, &answer) || answer.Code != codeNotFound {
 		t.Errorf("show of an unknown document: %v", err)
 	}
-	a.err = errors.Wrap(platform.Unknown(errors.New("lost")), "publish")
+	a.err = errors.Wrap(oplog.Unknown(errors.New("lost")), "publish")
 	if _, err := c.Publish(t.Context(), "contract/deskTeam", 1, contract); !errors.As(err, &answer) || answer.Code != codeUnknown {
 		t.Errorf("publish with a lost answer: %v", err)
 	}
@@ -178,7 +178,7 @@
 
 // Guards against paths that reach the wrong call, bodies without a bound, and names that are not decoded.
 func TestRoutes(t *testing.T) {
-	a := &fakeAdmin{documents: map[string]platform.Document{"contract/a b": {Name: "contract/a b", Revision: 7}}}
+	a := &fakeAdmin{documents: map[string]oplog.Document{"contract/a b": {Name: "contract/a b", Revision: 7}}}
 	c := NewClient(startServer(t, a, metrics.NewRegistry()), testToken)
 	defer c.Close()
 	long := bytes.Repeat([]byte(" "), documentLimit+1)
--- a/platform/claims_test.go
+++ b/oplog/claims_test.go
@@ -1,4 +1,4 @@
-package platform
+package oplog
 
 import (
 	"context"
@@ -121,7 +121,7 @@
 		})
 	}
 	t.Logf("results: %v", results)
-	for _, kind := range []string{"platform.ClaimWon", "platform.ClaimHeld", "platform.ClaimDone", "platform.ClaimMismatch", "<nil>"} {
+	for _, kind := range []string{"oplog.ClaimWon", "oplog.ClaimHeld", "oplog.ClaimDone", "oplog.ClaimMismatch", "<nil>"} {
 		if results[kind] == 0 {
 			t.Errorf("no claim had the result %s", kind)
 		}
--- a/platform/commit.go
+++ b/oplog/commit.go
@@ -1,4 +1,4 @@
-package platform
+package oplog
 
 import (
 	"context"
@@ -177,7 +177,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !p.found && s.waiters[p.record.id] == p && offset < s.state.next && s.state.anchored {
-		s.logger.Warnf("platform: the log has lost records; offset %d was given again", offset)
+		s.logger.Warnf("oplog: the log has lost records; offset %d was given again", offset)
 		s.state.rewind(Batch{Earliest: s.state.earliest})
 		s.caughtUp = false
 	}
--- a/platform/store.go
+++ b/oplog/store.go
@@ -1,4 +1,4 @@
-package platform
+package oplog
 
 import (
 	"context"
@@ -207,7 +207,7 @@
 	s.caughtUp = false
 	s.mu.Unlock()
 	if was && s.ctx.Err() == nil {
-		s.logger.WithError(err).Warn("platform: the log cannot be read")
+		s.logger.WithError(err).Warn("oplog: the log cannot be read")
 	}
 }
 
@@ -217,16 +217,16 @@
 	defer s.mu.Unlock()
 	identity, wasAnchored, was := s.state.identity, s.state.anchored, s.caughtUp
 	if identity != "" && b.Identity != identity {
-		s.logger.Warn("platform: the log was recreated")
+		s.logger.Warn("oplog: the log was recreated")
 	} else if identity != "" && b.Earliest > s.state.next {
-		s.logger.Warnf("platform: the log was truncated to offset %d, above the applied offset %d", b.Earliest, s.state.next)
+		s.logger.Warnf("oplog: the log was truncated to offset %d, above the applied offset %d", b.Earliest, s.state.next)
 	}
 	moved := s.state.moved
 	for _, a := range s.state.apply(b) {
 		s.resolve(a)
 	}
 	if s.state.moved && !moved {
-		s.logger.Warnf("platform: the log has lost records; it is read again from offset %d", s.state.next)
+		s.logger.Warnf("oplog: the log has lost records; it is read again from offset %d", s.state.next)
 	}
 	now := time.Now()
 	if s.state.moved && !moved {
@@ -238,10 +238,10 @@
 		s.unanchored = now
 	}
 	if s.caughtUp && !was {
-		s.logger.Infof("platform: the log is applied up to offset %d", s.state.next)
+		s.logger.Infof("oplog: the log is applied up to offset %d", s.state.next)
 	}
 	if s.state.anchored != wasAnchored && !s.state.anchored {
-		s.logger.Warn("platform: waiting for a checkpoint in the log")
+		s.logger.Warn("oplog: waiting for a checkpoint in the log")
 	}
 	s.publishSnapshot()
 }
--- a/platform/upkeep.go
+++ b/oplog/upkeep.go
@@ -1,4 +1,4 @@
-package platform
+package oplog
 
 import (
 	"context"
@@ -133,7 +133,7 @@
 func (s *Store) writeCheckpoint() {
 	s.mu.Lock()
 	if !s.state.anchored {
-		s.logger.Warn("platform: the log holds no complete checkpoint; writing one from the own copy")
+		s.logger.Warn("oplog: the log holds no complete checkpoint; writing one from the own copy")
 		for _, a := range s.state.force() {
 			s.resolve(a)
 		}
@@ -145,7 +145,7 @@
 	defer cancel()
 	for _, b := range parts {
 		if _, err := s.submit(ctx, b); err != nil {
-			s.logger.WithError(err).Warn("platform: checkpoint not written")
+			s.logger.WithError(err).Warn("oplog: checkpoint not written")
 			return
 		}
 	}
--- a/standin/protocol_test.go
+++ b/standin/protocol_test.go
@@ -10,7 +10,7 @@
 
 	"goldcrestpath/customer"
 	"goldcrestpath/engine"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 	"goldcrestpath/standin"
 )
 
@@ -101,7 +101,7 @@
 		t.Fatal(err)
 	}
 	defer log.Close()
-	store := platform.NewStore(platform.NewHTTPLog(log.Address()))
+	store := oplog.NewStore(oplog.NewHTTPLog(log.Address()))
 	defer store.Close()
 	for !store.LogReachable() {
 		time.Sleep(time.Millisecond)
@@ -119,8 +119,8 @@
 	}
 	defer list.Close()
 	list.Set(standin.ListedVM{Place: "jm-a/1", Instance: "i-1", Address: "127.0.0.1:1", State: "leaving"})
-	vms, err := platform.NewVMList(list.Address()).Get(ctx)
-	want := []platform.ListedVM{{Place: "jm-a/1", Instance: "i-1", Address: "127.0.0.1:1", State: platform.VMLeaving}}
+	vms, err := oplog.NewVMList(list.Address()).Get(ctx)
+	want := []oplog.ListedVM{{Place: "jm-a/1", Instance: "i-1", Address: "127.0.0.1:1", State: oplog.VMLeaving}}
 	if diff := cmp.Diff(want, vms.VMs); diff != "" || err != nil {
 		t.Error(err, diff)
 	}
@@ -129,12 +129,12 @@
 		t.Fatal(err)
 	}
 	defer weights.Close()
-	if err := reserveTwice(ctx, platform.NewWeightStore(weights.Address())); err != nil {
+	if err := reserveTwice(ctx, oplog.NewWeightStore(weights.Address())); err != nil {
 		t.Error(err)
 	}
 }
 
-func reserveTwice(ctx context.Context, w *platform.WeightStore) error {
+func reserveTwice(ctx context.Context, w *oplog.WeightStore) error {
 	for range 2 {
 		if _, err := w.Reserve(ctx, "small", 1000); err != nil {
 			return err
--- a/vm/admin.go
+++ b/vm/admin.go
@@ -9,22 +9,22 @@
 	"github.com/rcrowley/go-metrics"
 
 	"goldcrestpath/operator"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 var _ operator.Admin = admin{}
 
 // admin serves the operators' API. The store has the methods that change and read documents and drains.
 type admin struct {
-	*platform.Store
+	*oplog.Store
 	v *VM
 }
 
 // Document implements operator.Admin.
-func (a admin) Document(name string) (platform.Document, bool) { return a.Snapshot().Document(name) }
+func (a admin) Document(name string) (oplog.Document, bool) { return a.Snapshot().Document(name) }
 
 // Documents implements operator.Admin.
-func (a admin) Documents() []platform.Document { return a.Snapshot().Documents() }
+func (a admin) Documents() []oplog.Document { return a.Snapshot().Documents() }
 
 // Status implements operator.Admin.
 func (a admin) Status(context.Context) (operator.Status, error) {
--- a/vm/call.go
+++ b/vm/call.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 	"goldcrestpath/service"
 )
 
@@ -54,16 +54,16 @@
 // answer.
 func (v *VM) callOnce(ctx context.Context, w *view, r *service.Request) (*service.Response, error) {
 	key := claimKey(r)
-	result, err := v.store.Claim(ctx, platform.Claim{Key: key, Digest: callDigest(r), Holder: v.place})
+	result, err := v.store.Claim(ctx, oplog.Claim{Key: key, Digest: callDigest(r), Holder: v.place})
 	if err != nil {
 		return nil, err
 	}
 	switch result := result.(type) {
-	case platform.ClaimWon:
+	case oplog.ClaimWon:
 		return v.callClaimed(ctx, w, r, key)
-	case platform.ClaimDone:
+	case oplog.ClaimDone:
 		return replay(result.Outcome), nil
-	case platform.ClaimMismatch:
+	case oplog.ClaimMismatch:
 		return nil, customer.Refuse(customer.ReasonKeyReused, "the idempotency key was used with a different request")
 	default:
 		return v.awaitOutcome(ctx, key)
@@ -88,7 +88,7 @@
 
 // recordOutcome writes an outcome to the log in the background, so that a slow log does not delay the answer. If it fails, later
 // calls with the key are told that the first one may have run.
-func (v *VM) recordOutcome(key string, o platform.Outcome) {
+func (v *VM) recordOutcome(key string, o oplog.Outcome) {
 	v.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
 		defer cancel()
@@ -192,15 +192,15 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-func outcomeOf(resp *service.Response) platform.Outcome {
-	o := platform.Outcome{Status: resp.Status, Body: resp.Body}
+func outcomeOf(resp *service.Response) oplog.Outcome {
+	o := oplog.Outcome{Status: resp.Status, Body: resp.Body}
 	for _, h := range resp.Headers {
-		o.Headers = append(o.Headers, platform.Header{Name: h.Name, Value: h.Value})
+		o.Headers = append(o.Headers, oplog.Header{Name: h.Name, Value: h.Value})
 	}
 	return o
 }
 
-func replay(o platform.Outcome) *service.Response {
+func replay(o oplog.Outcome) *service.Response {
 	resp := &service.Response{Status: o.Status, Body: o.Body}
 	for _, h := range o.Headers {
 		resp.Headers = append(resp.Headers, service.Header{Name: h.Name, Value: h.Value})
--- a/vm/configuration.go
+++ b/vm/configuration.go
@@ -6,14 +6,14 @@
 	"github.com/pkg/errors"
 
 	"goldcrestpath/customer"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
-func targetDataCentre(name string) string { return platform.DataCentrePrefix + name }
-func targetVM(place string) string        { return platform.VMPrefix + place }
-func targetEndpoint(name string) string   { return platform.EndpointPrefix + name }
+func targetDataCentre(name string) string { return oplog.DataCentrePrefix + name }
+func targetVM(place string) string        { return oplog.VMPrefix + place }
+func targetEndpoint(name string) string   { return oplog.EndpointPrefix + name }
 
-func isContract(document string) bool { return strings.HasPrefix(document, platform.ContractPrefix) }
+func isContract(document string) bool { return strings.HasPrefix(document, oplog.ContractPrefix) }
 
 // followConfiguration applies each change of the store's snapshot until Close.
 func (v *VM) followConfiguration() {
--- a/vm/freed.go
+++ b/vm/freed.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"goldcrestpath/entry"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 const (
@@ -30,7 +30,7 @@
 }
 
 // observe takes an answer of the VM list that was asked for at asked, and the dead runs, and returns those that are gone.
-func (g *goneRule) observe(asked time.Time, list platform.VMs, dead []platform.PlaceRun) []platform.PlaceRun {
+func (g *goneRule) observe(asked time.Time, list oplog.VMs, dead []oplog.PlaceRun) []oplog.PlaceRun {
 	listed := map[string]bool{}
 	for _, l := range list.VMs {
 		listed[l.Place] = true
@@ -40,7 +40,7 @@
 	if !listed[g.place] {
 		return nil
 	}
-	var gone []platform.PlaceRun
+	var gone []oplog.PlaceRun
 	for _, run := range dead {
 		if listed[run.Place] {
 			continue
@@ -93,7 +93,7 @@
 }
 
 // deadRuns returns the registered runs that membership has as dead and that were not freed, and the number of live members.
-func (v *VM) deadRuns() (dead []platform.PlaceRun, alive int) {
+func (v *VM) deadRuns() (dead []oplog.PlaceRun, alive int) {
 	s := v.store.Snapshot()
 	for _, m := range v.node.Members() {
 		if m.State() != entry.StateDead {
@@ -105,7 +105,7 @@
 	return dead, alive
 }
 
-func (v *VM) goneRuns(rule *goneRule, dead []platform.PlaceRun) []platform.PlaceRun {
+func (v *VM) goneRuns(rule *goneRule, dead []oplog.PlaceRun) []oplog.PlaceRun {
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(v.ctx, vmListTimeout)
 	defer cancel()
@@ -118,7 +118,7 @@
 }
 
 // free records that a run is gone, so that other VMs lend its shares.
-func (v *VM) free(run platform.PlaceRun) {
+func (v *VM) free(run oplog.PlaceRun) {
 	ctx, cancel := context.WithTimeout(v.ctx, registerTimeout)
 	defer cancel()
 	run.Ended, run.Freed = true, true
--- a/vm/orders_test.go
+++ b/vm/orders_test.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"goldcrestpath/engine"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 	"goldcrestpath/standin"
 )
 
@@ -80,7 +80,7 @@
 	client := engine.NewClient()
 	spec := engine.Spec{Name: "e", Address: e.Address(), ChecksFence: true}
 	issue := func(sender engine.OrderSender, role string) <-chan error {
-		store := platform.NewStore(platform.NewHTTPLog(log.Address()))
+		store := oplog.NewStore(oplog.NewHTTPLog(log.Address()))
 		t.Cleanup(store.Close)
 		ended := make(chan error, 10)
 		waitFor(t, "readable log", store.LogReachable)
--- a/vm/places.go
+++ b/vm/places.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"goldcrestpath/entry"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 const (
@@ -37,7 +37,7 @@
 
 // observe takes an answer of the VM list that was asked for at asked. Without a name for this VM, a single instance at the
 // place counts as this VM.
-func (p *placeRule) observe(asked time.Time, list platform.VMs) {
+func (p *placeRule) observe(asked time.Time, list oplog.VMs) {
 	if p.registered.IsZero() || asked.Add(-list.Age-listAgeMargin).Before(p.registered) {
 		return
 	}
@@ -84,10 +84,10 @@
 }
 
 // registerPlace writes this run to the log, and repeats that while the log is out.
-func (v *VM) registerPlace() (platform.PlaceRun, bool) {
+func (v *VM) registerPlace() (oplog.PlaceRun, bool) {
 	for {
 		ctx, cancel := context.WithTimeout(v.ctx, registerTimeout)
-		run, err := v.store.Register(ctx, platform.PlaceRun{Place: v.place, Incarnation: v.incarnation})
+		run, err := v.store.Register(ctx, oplog.PlaceRun{Place: v.place, Incarnation: v.incarnation})
 		cancel()
 		if err == nil {
 			return run, run.Incarnation == v.incarnation // the configuration's changes tell of a higher one
@@ -137,7 +137,7 @@
 }
 
 // checkPlace stops lending and borrowing where the configuration shows a later run at this VM's place.
-func (v *VM) checkPlace(s *platform.Snapshot) {
+func (v *VM) checkPlace(s *oplog.Snapshot) {
 	run, _ := s.Place(v.place)
 	switch {
 	case v.node.Superseded():
--- a/vm/places_rule_test.go
+++ b/vm/places_rule_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 )
 
 // TestGoneRule guards against shares that are freed while their guardian may live: it was listed a moment ago, the list is stale
@@ -28,14 +28,14 @@
 		t.Run(name, func(t *testing.T) {
 			rule := goneRule{place: "1"}
 			for i, r := range reads {
-				var list platform.VMs
+				var list oplog.VMs
 				list.Age = r.age
 				for _, p := range r.places {
-					list.VMs = append(list.VMs, platform.ListedVM{Place: string(p)})
+					list.VMs = append(list.VMs, oplog.ListedVM{Place: string(p)})
 				}
-				var dead []platform.PlaceRun
+				var dead []oplog.PlaceRun
 				if r.incarnation > 0 {
-					dead = append(dead, platform.PlaceRun{Place: "2", Incarnation: r.incarnation})
+					dead = append(dead, oplog.PlaceRun{Place: "2", Incarnation: r.incarnation})
 				}
 				if got := len(rule.observe(begin.Add(r.after), list, dead)) > 0; got != r.want {
 					t.Errorf("read %d: gone: %t, want %t", i, got, r.want)
@@ -48,10 +48,10 @@
 // TestPlaceRule guards against a VM that lends while an earlier one at its place may lend the same shares.
 func TestPlaceRule(t *testing.T) {
 	registered := time.Unix(1_700_000_000, 0)
-	list := func(instances ...string) []platform.ListedVM {
-		vms := []platform.ListedVM{{Place: "a/2", Instance: "other place"}}
+	list := func(instances ...string) []oplog.ListedVM {
+		vms := []oplog.ListedVM{{Place: "a/2", Instance: "other place"}}
 		for _, i := range instances {
-			vms = append(vms, platform.ListedVM{Place: "a/1", Instance: i, State: platform.VMLeaving})
+			vms = append(vms, oplog.ListedVM{Place: "a/1", Instance: i, State: oplog.VMLeaving})
 		}
 		return vms
 	}
@@ -61,7 +61,7 @@
 		rule  placeRule
 		after time.Duration // of the read, after the registration
 		age   time.Duration
-		vms   []platform.ListedVM
+		vms   []oplog.ListedVM
 		want  bool
 	}{
 		{"not registered", placeRule{place: "a/1", instance: "new", clear: true, noList: true}, time.Minute, 0, list("new"), false},
@@ -79,7 +79,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			test.rule.observe(registered.Add(test.after), platform.VMs{VMs: test.vms, Age: test.age})
+			test.rule.observe(registered.Add(test.after), oplog.VMs{VMs: test.vms, Age: test.age})
 			if got := test.rule.mayLend(); got != test.want {
 				t.Errorf("may lend: %t, want %t", got, test.want)
 			}
--- a/vm/view.go
+++ b/vm/view.go
@@ -7,14 +7,14 @@
 	"goldcrestpath/customer"
 	"goldcrestpath/engine"
 	"goldcrestpath/operator"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 	"goldcrestpath/service"
 )
 
 // view is the applied configuration as the data path reads it. It is immutable; a change replaces it.
 type view struct {
 	dataCentre string // this VM's data centre
-	snapshot   *platform.Snapshot
+	snapshot   *oplog.Snapshot
 	fleet      *operator.Fleet
 	revision   uint64 // of the fleet document
 	source     []byte // content of the fleet document that fleet was parsed from
@@ -38,7 +38,7 @@
 // newView derives a view from a snapshot. What did not change since old, which may be nil, is taken from it: a fleet of 10,000 engines
 // takes 0.2 s to parse. A document that does not parse is returned as a problem, and its last good content stays in force. Publishing
 // checks documents, so that it can only come from another version of the program.
-func newView(dataCentre string, s *platform.Snapshot, old *view) (*view, error) {
+func newView(dataCentre string, s *oplog.Snapshot, old *view) (*view, error) {
 	if old == nil {
 		old = &view{}
 	}
@@ -93,7 +93,7 @@
 }
 
 func (w *view) readFleet(old *view) customer.Problems {
-	d, ok := w.snapshot.Document(platform.FleetDocument)
+	d, ok := w.snapshot.Document(oplog.FleetDocument)
 	if !ok {
 		w.keepFleet(old)
 		return nil
--- a/vm/view_test.go
+++ b/vm/view_test.go
@@ -9,24 +9,24 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 	"goldcrestpath/standin"
 )
 
 // publishAll publishes each content as the next revision of its document and returns the snapshots after each.
-func publishAll(t testing.TB, changes [][2]string) []*platform.Snapshot {
+func publishAll(t testing.TB, changes [][2]string) []*oplog.Snapshot {
 	t.Helper()
 	log, err := standin.NewLog("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(log.Close)
-	store := platform.NewStore(platform.NewHTTPLog(log.Address()))
+	store := oplog.NewStore(oplog.NewHTTPLog(log.Address()))
 	t.Cleanup(store.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
 	revisions := make(map[string]uint64)
-	var snapshots []*platform.Snapshot
+	var snapshots []*oplog.Snapshot
 	for _, c := range changes {
 		for {
 			revision, err := store.Publish(ctx, c[0], revisions[c[0]], []byte(c[1]))
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -18,7 +18,7 @@
 	"goldcrestpath/engine"
 	"goldcrestpath/entry"
 	"goldcrestpath/operator"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 	"goldcrestpath/service"
 )
 
@@ -43,7 +43,7 @@
 	registry    metrics.Registry
 	counters    *counters
 
-	store     *platform.Store
+	store     *oplog.Store
 	node      *entry.Node
 	engines   *engine.Client
 	chooser   *engine.Chooser
@@ -61,10 +61,10 @@
 	operators      *operator.Server
 	operatorListen net.Listener
 
-	vmList       *platform.VMList
-	weights      *platform.WeightStore
+	vmList       *oplog.VMList
+	weights      *oplog.WeightStore
 	orders       *orders
-	run          atomic.Pointer[platform.PlaceRun] // this run, once it may lend
+	run          atomic.Pointer[oplog.PlaceRun] // this run, once it may lend
 	lending      atomic.Bool                       // no earlier VM at the place lends
 	fleetApplied atomic.Uint64                     // newest revision of the fleet document that the node has applied
 
@@ -140,11 +140,11 @@
 
 // start opens clients and listeners in the order in which they depend on each other.
 func (v *VM) start() error {
-	v.store = platform.NewStore(platform.NewHTTPLog(v.settings.LogAddress()),
-		platform.WithClaimRetention(v.settings.ClaimRetention()), platform.WithLogger(v.logger))
-	v.weights = platform.NewWeightStore(v.settings.WeightStoreAddress())
+	v.store = oplog.NewStore(oplog.NewHTTPLog(v.settings.LogAddress()),
+		oplog.WithClaimRetention(v.settings.ClaimRetention()), oplog.WithLogger(v.logger))
+	v.weights = oplog.NewWeightStore(v.settings.WeightStoreAddress())
 	v.orders = newOrders(v)
-	v.vmList = platform.NewVMList(v.settings.VMListAddress())
+	v.vmList = oplog.NewVMList(v.settings.VMListAddress())
 	empty, _ := newView(v.dataCentre, v.store.Snapshot(), nil)
 	v.current.Store(empty)
 	if err := v.startPeer(); err != nil {
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"goldcrestpath/operator"
-	"goldcrestpath/platform"
+	"goldcrestpath/oplog"
 	"goldcrestpath/standin"
 	"goldcrestpath/vm"
 )
@@ -101,7 +101,7 @@
 
 func (s *site) publish(t *testing.T, document string, base uint64, content string) {
 	t.Helper()
-	store := platform.NewStore(platform.NewHTTPLog(s.log.Address()))
+	store := oplog.NewStore(oplog.NewHTTPLog(s.log.Address()))
 	defer store.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
