endpoint: Choose endpoints by a timing model and loads shared between VMs

The platform's engines read prompts in passes that pause every stream, so the choice of endpoint follows the reads that would meet in one pass.

--- /dev/null
+++ b/endpoint/load.go
@@ -0,0 +1,153 @@
+package endpoint
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key identifies an endpoint in messages between VMs: a hash of its ID.
+type Key uint64
+
+// KeyOf returns the key of an endpoint.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+
+// Work is what one request costs one endpoint.
+type Work struct {
+	Read    time.Duration // time that the endpoint needs to read its part of the prompt; 0 once it is read
+	Since   time.Time     // when it was sent
+	Context int           // tokens of memory that it takes there
+	Writing bool          // whether its events come from there
+	Pause   time.Duration // longest pause between events that its caller accepts, 0 for none
+}
+
+// Load is all that one VM runs on one endpoint. A later Load replaces it.
+type Load struct {
+	Endpoint Key
+	Works    []Work
+}
+
+// load sums what runs on one endpoint.
+type load struct {
+	unread  time.Duration // reads that have not ended, with what they are overdue
+	pending time.Duration // the like, without what they are overdue
+	writers int
+	running int
+	context int
+	pause   time.Duration // shortest pause that a caller of a stream there accepts, 0 for none
+	strict  int           // streams with the shortest pause
+}
+
+// overdueGrace is how long a read may exceed its cost before it counts against the endpoint: reads wait for the pass that is
+// under way, which a read of the usual bound stretches to about this.
+const overdueGrace = 300 * time.Millisecond
+
+func (l *load) add(w *Work, now time.Time) {
+	l.context += w.Context
+	if w.Read > 0 {
+		l.pending += w.Read
+		l.unread += w.Read
+		if late := now.Sub(w.Since) - w.Read - overdueGrace; late > 0 {
+			l.unread += late
+		}
+	}
+	if !w.Writing {
+		return
+	}
+	l.running++
+	if w.Read > 0 {
+		return
+	}
+	l.writers++
+	if w.Pause <= 0 {
+		return
+	}
+	switch {
+	case l.pause == 0 || w.Pause < l.pause:
+		l.pause, l.strict = w.Pause, 1
+	case w.Pause == l.pause:
+		l.strict++
+	}
+}
+
+// peerLoad is what a peer reported of one endpoint.
+type peerLoad struct {
+	works []Work
+	at    time.Time // when the report came
+}
+
+// peerLoadLife is how long a report counts. Peers repeat theirs several times within it, so that only the load of a VM that
+// is gone or cut off expires.
+const peerLoadLife = 1200 * time.Millisecond
+
+// load returns the sum of this VM's work and of what peers reported.
+func (m *member) load(now time.Time) load {
+	var l load
+	for _, w := range m.own {
+		l.add(w, now)
+	}
+	for vm, p := range m.others {
+		if now.Sub(p.at) > peerLoadLife {
+			delete(m.others, vm)
+			continue
+		}
+		for i := range p.works {
+			l.add(&p.works[i], now)
+		}
+	}
+	return l
+}
+
+// TakeLoads returns this VM's load on each endpoint where it changed since the last call.
+func (f *Fleet) TakeLoads() []Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loads := make([]Load, 0, len(f.changed))
+	for key := range f.changed {
+		if m := f.byKey[key]; m != nil {
+			loads = append(loads, m.ownLoad())
+		}
+		delete(f.changed, key)
+	}
+	return loads
+}
+
+// Loads returns this VM's load on every endpoint where it runs something.
+func (f *Fleet) Loads() []Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var loads []Load
+	for _, m := range f.byKey {
+		if len(m.own) > 0 {
+			loads = append(loads, m.ownLoad())
+		}
+	}
+	return loads
+}
+
+func (m *member) ownLoad() Load {
+	l := Load{Endpoint: m.key, Works: make([]Work, 0, len(m.own))}
+	for _, w := range m.own {
+		l.Works = append(l.Works, *w)
+	}
+	return l
+}
+
+// MergeLoads takes over what a peer runs on the endpoints that loads names. Reports of endpoints that this VM has not heard
+// of are dropped; the peer repeats them.
+func (f *Fleet) MergeLoads(now time.Time, vm string, loads []Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range loads {
+		m := f.byKey[loads[i].Endpoint]
+		if m == nil {
+			continue
+		}
+		if len(loads[i].Works) == 0 {
+			delete(m.others, vm)
+			continue
+		}
+		m.others[vm] = peerLoad{works: loads[i].Works, at: now}
+	}
+	f.wakeLocked()
+}
