--- a/operator/document.go
+++ b/operator/document.go
@@ -16,6 +16,7 @@
 	KindSettings Kind = "settings"
 	KindFleet    Kind = "fleet"
 	KindContract Kind = "contract"
+	KindGateway  Kind = "gateway"
 )
 
 var (
@@ -30,6 +31,8 @@
 	for _, s := range f.sections {
 		kind, _, named := strings.Cut(s.name, " ")
 		switch {
+		case s.name == gatewaySections[0]:
+			return KindGateway, nil
 		case named && slices.Contains(fleetKinds, kind):
 			return KindFleet, nil
 		case slices.Contains(settingsSections, s.name):
@@ -53,6 +56,8 @@
 	switch kind {
 	case KindSettings:
 		_, err = ParseSettings(file, data)
+	case KindGateway:
+		_, err = ParseGatewaySettings(file, data)
 	case KindFleet:
 		_, err = ParseFleet(file, data)
 	case KindContract:
--- a/operator/ini.go
+++ b/operator/ini.go
@@ -157,13 +157,13 @@
 const allowedAddress = "an IP address and port such as 10.0.0.7:7000; host names are not looked up"
 
 func (s *iniSection) address(key string, required bool) string {
-	return parse(s, key, allowedAddress, required, "", func(v string) (string, bool) { return v, validAddress(v) })
+	return parse(s, key, allowedAddress, required, "", func(v string) (string, bool) { return v, ValidAddress(v) })
 }
 
 func (s *iniSection) addresses(key string) []string {
 	return parse(s, key, "addresses separated by commas, each "+allowedAddress, false, nil, func(v string) ([]string, bool) {
 		list := splitList(v)
-		return list, !slices.ContainsFunc(list, func(a string) bool { return !validAddress(a) })
+		return list, !slices.ContainsFunc(list, func(a string) bool { return !ValidAddress(a) })
 	})
 }
 
@@ -176,7 +176,8 @@
 	}
 }
 
-func validAddress(v string) bool {
+// ValidAddress says whether v is an IP address with a port.
+func ValidAddress(v string) bool {
 	a, err := netip.ParseAddrPort(v)
 	return err == nil && a.Port() != 0
 }
--- a/operator/prometheus.go
+++ b/operator/prometheus.go
@@ -20,8 +20,8 @@
 // quantiles of histograms and timers.
 var quantiles = []float64{0.5, 0.9, 0.95, 0.99}
 
-// writePrometheus writes a registry in the Prometheus text format, ordered by name.
-func writePrometheus(w io.Writer, r metrics.Registry) error {
+// WriteMetrics writes a registry in the Prometheus text format, ordered by name.
+func WriteMetrics(w io.Writer, r metrics.Registry) error {
 	var families []*dto.MetricFamily
 	r.Each(func(name string, m any) {
 		if f := family(name, m); f != nil {
--- a/operator/server.go
+++ b/operator/server.go
@@ -326,7 +326,7 @@
 		return
 	}
 	r.SetContentType(prometheusType)
-	if err := writePrometheus(r, s.registry); err != nil {
+	if err := WriteMetrics(r, s.registry); err != nil {
 		s.logger.WithError(err).Debug("operator: metrics not encoded")
 	}
 }
