--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"goldcrestpath/endpoint"
+	"goldcrestpath/oplog"
+)
+
+// message is one datagram. Unknown fields of later versions are ignored.
+type message struct {
+	From  string   `cbor:"1,keyasint"`           // address of the sender
+	Boot  int64    `cbor:"2,keyasint"`           // start of the sender's process in Unix nanoseconds
+	Seq   uint64   `cbor:"3,keyasint"`           // counts the sender's datagrams
+	Loads []load   `cbor:"4,keyasint,omitempty"` //
+	Feeds []feed   `cbor:"5,keyasint,omitempty"` // new records
+	Peers []string `cbor:"6,keyasint,omitempty"` // VMs that the sender hears, in heartbeats
+	Beat  bool     `cbor:"7,keyasint,omitempty"`
+	Bye   bool     `cbor:"8,keyasint,omitempty"` // the sender stops
+}
+
+type load struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint uint64
+	Works    []work
+}
+
+type work struct {
+	_       struct{} `cbor:",toarray"`
+	Read    int64    // microseconds
+	Age     int64    // microseconds since the send
+	Context int
+	Writing bool
+	Pause   int64 // milliseconds
+}
+
+// feed holds the records of a topic from one offset up to another that changed something, and how long ago the store
+// confirmed that nothing follows.
+type feed struct {
+	_       struct{} `cbor:",toarray"`
+	Topic   uint8
+	From    int64
+	Upto    int64
+	Age     int64 // milliseconds
+	Records []record
+}
+
+type record struct {
+	_      struct{} `cbor:",toarray"`
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// listing is the answer of a peer that was asked for records.
+type listing struct {
+	Records []record `cbor:"1,keyasint"`
+	Upto    int64    `cbor:"2,keyasint"`
+	Age     int64    `cbor:"3,keyasint"` // milliseconds
+}
+
+func encodeLoads(loads []endpoint.Load, now time.Time) []load {
+	out := make([]load, len(loads))
+	for i, l := range loads {
+		out[i].Endpoint = uint64(l.Endpoint)
+		out[i].Works = make([]work, len(l.Works))
+		for k, w := range l.Works {
+			out[i].Works[k] = work{
+				Read: w.Read.Microseconds(), Age: now.Sub(w.Since).Microseconds(), Context: w.Context, Writing: w.Writing,
+				Pause: w.Pause.Milliseconds(),
+			}
+		}
+	}
+	return out
+}
+
+func decodeLoads(loads []load, now time.Time) []endpoint.Load {
+	out := make([]endpoint.Load, len(loads))
+	for i, l := range loads {
+		out[i].Endpoint = endpoint.Key(l.Endpoint)
+		out[i].Works = make([]endpoint.Work, len(l.Works))
+		for k, w := range l.Works {
+			out[i].Works[k] = endpoint.Work{
+				Read: time.Duration(w.Read) * time.Microsecond, Since: now.Add(-time.Duration(w.Age) * time.Microsecond),
+				Context: w.Context, Writing: w.Writing, Pause: time.Duration(w.Pause) * time.Millisecond,
+			}
+		}
+	}
+	return out
+}
+
+func encodeRecords(records []oplog.Record) []record {
+	out := make([]record, len(records))
+	for i, r := range records {
+		out[i] = record{Key: r.Key, Value: r.Value, Offset: r.Offset}
+	}
+	return out
+}
+
+func decodeRecords(records []record) []oplog.Record {
+	out := make([]oplog.Record, len(records))
+	for i, r := range records {
+		out[i] = oplog.Record{Key: r.Key, Offset: r.Offset}
+		if len(r.Value) > 0 {
+			out[i].Value = r.Value
+		}
+	}
+	return out
+}
+
+// decodeMode bounds what a datagram can make the decoder allocate.
+var decodeMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
