gateway, forward: Serve callers on the operators' platform

net/http carries callers and endpoints: fasthttp's server does not notice a caller that leaves while its request waits, and its client repeats GET and PUT on its own (trials in FACTS).

--- a/cmd/goldcrest/serve.go
+++ b/cmd/goldcrest/serve.go
@@ -13,6 +13,8 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"goldcrestpath/customer"
+	"goldcrestpath/gateway"
 	"goldcrestpath/operator"
 	"goldcrestpath/vm"
 )
@@ -36,30 +38,40 @@
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run one entry VM until SIGTERM",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true}},
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars(settingsVariable),
+		}},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if _, err := wantArgs(cmd); err != nil {
 				return err
 			}
-			s, err := operator.LoadSettings(cmd.String("settings"))
+			file := cmd.String("settings")
+			signals := make(chan os.Signal, 2)
+			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+			defer signal.Stop(signals)
+			gatewayFile, err := isGateway(file)
+			if err != nil {
+				return err
+			}
+			if gatewayFile {
+				return serveGateway(ctx, file, signals, cmd.Root().Writer)
+			}
+			s, err := operator.LoadSettings(file)
 			if err != nil {
 				return err
 			}
 			setLogger(s, cmd.Root().ErrWriter)
-			signals := make(chan os.Signal, 2)
-			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-			defer signal.Stop(signals)
-			return serve(ctx, s, signals)
+			v, err := newVM(s)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, v, signals)
 		},
 	}
 }
 
 // serve runs a VM until the first signal, which begins a graceful stop. The second one ends the stop at once.
-func serve(ctx context.Context, s *operator.Settings, signals <-chan os.Signal) error {
-	v, err := newVM(s)
-	if err != nil {
-		return err
-	}
+func serve(ctx context.Context, v entryVM, signals <-chan os.Signal) error {
 	select {
 	case sig := <-signals:
 		log.Infof("goldcrest: stopping on %v", sig)
@@ -77,6 +89,47 @@
 	}
 }
 
+// settingsVariable names the settings file where the command line does not.
+const settingsVariable = "GOLDCRESTPATH_SETTINGS"
+
+// isGateway says whether a settings file is that of a VM whose platform tells routes and endpoints.
+func isGateway(file string) (bool, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return false, customer.Problems{{File: file, Allowed: "a readable file: " + err.Error()}}
+	}
+	kind, err := operator.KindOf(file, data)
+	return kind == operator.KindGateway, err
+}
+
+// serveGateway runs a gateway. SIGHUP reads its settings again.
+func serveGateway(ctx context.Context, file string, signals <-chan os.Signal, w io.Writer) error {
+	s, err := operator.LoadGatewaySettings(file)
+	if err != nil {
+		return err
+	}
+	g, err := gateway.New(s, version(), w)
+	if err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go func() {
+		for {
+			select {
+			case <-reload:
+				g.Reload(operator.LoadGatewaySettings(file))
+			case <-stopped:
+				return
+			}
+		}
+	}()
+	return serve(ctx, g, signals)
+}
+
 func setLogger(s *operator.Settings, w io.Writer) {
 	if s.LogFormat() == "json" {
 		log.SetHandler(json.New(w))
--- /dev/null
+++ b/forward/exchange.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/endpoint"
+)
+
+// Limits of calls to plain services.
+const (
+	longestAnswer = 64 << 20 // bytes; a longer answer is refused, because an answer is delivered whole or not at all
+	// attemptAims is how many times the aim of its route an attempt may take while another endpoint could be tried.
+	attemptAims = 3
+	// shortestAttempt is the least time that an attempt gets.
+	shortestAttempt = 250 * time.Millisecond
+	// waitAims is the part of the aim that a request waits for room. What waits longer is late in any case, and the caller
+	// does better to come back.
+	waitAims = 1.0
+)
+
+// exchange performs a request whose answer is one body.
+func (q *request) exchange(ctx context.Context) {
+	var last *Head
+	var lastBody []byte
+	var failure *customer.Refusal
+	for {
+		p, refusal := q.place(ctx, time.Duration(waitAims*float64(q.route.Aim)), func(now time.Time) (*endpoint.Placement, *customer.Refusal) {
+			return q.h.fleet.PlaceCall(now, q.service, q.tried)
+		})
+		if refusal != nil {
+			failure = refusal
+			break
+		}
+		head, body, err := q.try(ctx, p)
+		if err == nil && head.Status < http.StatusInternalServerError {
+			q.deliver(&head, body)
+			return
+		}
+		reason := "endpointFailed"
+		if err == nil {
+			last, lastBody = &head, body
+			failure = customer.Fail(customer.ReasonEndpointFailed, "the endpoint failed")
+		} else {
+			failure = err
+			reason = string(err.Reason())
+		}
+		if !q.mayRetry(ctx, reason) {
+			break
+		}
+	}
+	if last != nil {
+		q.deliver(last, lastBody) // the endpoint's own failure says more than the gateway's
+		return
+	}
+	q.fail(ctx, failure)
+}
+
+// try sends the request once and reads the whole answer. An endpoint's own failure is an answer.
+func (q *request) try(ctx context.Context, p *endpoint.Placement) (Head, []byte, *customer.Refusal) {
+	attemptCtx, cancel := q.attemptContext(ctx)
+	defer cancel()
+	sent := time.Now()
+	head, resp, sendErr := q.send(attemptCtx, p, "")
+	var body []byte
+	if sendErr == nil {
+		var err error
+		body, err = io.ReadAll(io.LimitReader(resp.Body, longestAnswer+1))
+		resp.Body.Close()
+		if err != nil {
+			sendErr = &sendError{verdict: customer.MayHaveRun, err: err}
+			if head.Own && head.NotRun {
+				sendErr.verdict = customer.NotRun
+			}
+		}
+	}
+	refusal, outcome := q.judge(ctx, head, sendErr, len(body) > longestAnswer)
+	p.End(time.Now(), outcome)
+	q.logAttempt(p, head, refusal, sent)
+	verdict := customer.MayHaveRun
+	if refusal != nil {
+		verdict = refusal.Verdict()
+	}
+	q.count(p.First().ID, verdict)
+	return head, body, refusal
+}
+
+// attemptContext bounds an attempt while the request could be sent to another endpoint after it.
+func (q *request) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !q.route.Kind.Repeatable() || q.sends+1 >= q.route.Attempts {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, max(attemptAims*q.route.Aim, shortestAttempt))
+}
+
+// judge says whether an answer may be delivered, and what the attempt showed of the endpoint.
+func (q *request) judge(ctx context.Context, head Head, sendErr *sendError, tooLong bool) (*customer.Refusal, endpoint.Outcome) {
+	switch {
+	case sendErr != nil && context.Cause(ctx) == errSilent:
+		return refusal(sendErr.verdict, customer.ReasonEndpointFailed, errSilent.Error()), endpoint.Broken
+	case sendErr != nil && ctx.Err() != nil:
+		return refusal(sendErr.verdict, customer.ReasonDeadline, "the time limit is over"), withdrawn(ctx)
+	case sendErr != nil:
+		return refusal(sendErr.verdict, customer.ReasonEndpointFailed, "no whole answer: "+sendErr.Error()), endpoint.Broken
+	case !head.Own:
+		return customer.Fail(customer.ReasonEndpointFailed, "the answer belongs to another request"), endpoint.Broken
+	case head.NotRun:
+		return customer.Refuse(customer.ReasonEndpointRefused, "the endpoint refused", customer.RetryAfter(retryRefused)), endpoint.Refused
+	case tooLong:
+		return customer.Fail(customer.ReasonEndpointFailed, "the answer is too long"), endpoint.Errored
+	case head.Status < 300 && !head.Genuine:
+		return customer.Fail(customer.ReasonEndpointFailed, "the answer is not the endpoint's"), endpoint.Broken
+	case head.Status >= 500:
+		return nil, endpoint.Errored
+	default:
+		return nil, endpoint.Good
+	}
+}
+
+// withdrawn returns the outcome of an attempt that ended with the request's context: silence until the time limit counts
+// against the endpoint, a caller that left does not.
+func withdrawn(ctx context.Context) endpoint.Outcome {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return endpoint.Broken
+	}
+	return endpoint.Withdraw
+}
+
+func refusal(v customer.Verdict, reason customer.Reason, message string) *customer.Refusal {
+	if v == customer.NotRun {
+		return customer.Refuse(reason, message, customer.RetryAfter(retryRefused))
+	}
+	return customer.Fail(reason, message)
+}
+
+// deliver passes on a whole answer.
+func (q *request) deliver(head *Head, body []byte) {
+	header := q.w.Header()
+	copyHeader(header, head.Header)
+	if q.call.Method != http.MethodHead && head.Status != http.StatusNoContent && head.Status != http.StatusNotModified {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	q.w.WriteHeader(head.Status)
+	_, _ = q.w.Write(body) // a caller that is gone needs no answer
+	q.h.answered.UpdateSince(q.call.Arrived)
+	q.log().WithField("status", head.Status).Info("forward: answered")
+}
+
+// copyHeader sets the headers and keeps the server from guessing a content type.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	if len(from["Content-Type"]) == 0 {
+		to["Content-Type"] = nil
+	}
+}
+
+func (q *request) logAttempt(p *endpoint.Placement, head Head, refusal *customer.Refusal, sent time.Time) {
+	e := q.log().WithField("endpoint", p.First().ID).WithField("address", p.First().Address).WithField("status", head.Status).
+		WithField("tookMs", time.Since(sent).Milliseconds()).WithField("running", p.Running()).WithField("unreadMs", p.Unread().Milliseconds()).
+		WithField("helpers", len(p.Helpers())).WithField("expectedMs", p.Expected().Milliseconds())
+	if refusal != nil {
+		e = e.WithField("verdict", refusal.Verdict().String()).WithField("failure", refusal.Message())
+		if head.AtFault != "" {
+			e = e.WithField("atFault", head.AtFault)
+		}
+	}
+	e.Info("forward: sent")
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,298 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/endpoint"
+)
+
+// Limits of streams.
+const (
+	// firstEventSlack is added to the predicted time to the first event before the endpoint counts as silent.
+	firstEventSlack = 700 * time.Millisecond
+	// silentPauses is how many times the pause that its route declares a stream may be silent. Callers give a stream up
+	// after eight of them, and at the earliest after two seconds.
+	silentPauses    = 4
+	shortestSilence = 1100 * time.Millisecond
+	longestEvent    = 1 << 20 // bytes
+)
+
+// stream performs a request whose answer is a series of events. What has been delivered stays valid when an endpoint
+// fails: another one goes on after the last delivered event.
+func (q *request) stream(ctx context.Context) {
+	d := &delivery{q: q, last: q.call.LastEvent}
+	var failure *customer.Refusal
+	var answer *Head
+	var answerBody []byte
+	for {
+		p, refusal := q.place(ctx, q.waitLimit(), q.pick)
+		if refusal != nil {
+			failure = refusal
+			break
+		}
+		head, body, err := q.run(ctx, p, d)
+		if err == nil && body == nil {
+			q.h.answered.UpdateSince(q.call.Arrived)
+			q.log().WithField("events", d.events).WithField("firstMs", d.firstAt.Sub(q.call.Arrived).Milliseconds()).Info("forward: answered")
+			return
+		}
+		reason := "endpointFailed"
+		if err == nil {
+			answer, answerBody = &head, body
+			failure = customer.Fail(customer.ReasonEndpointFailed, "the endpoint failed")
+			if head.Status < http.StatusInternalServerError {
+				break
+			}
+		} else {
+			failure = err
+			reason = string(err.Reason())
+		}
+		if failure.Reason() == customer.ReasonCallerGone || !q.mayRetry(ctx, reason) {
+			break
+		}
+	}
+	if d.begun {
+		q.log().WithField("events", d.events).WithField("failure", failure.Message()).Info("forward: broken off")
+		q.h.refused("brokenOff").Inc(1)
+		panic(http.ErrAbortHandler) // the connection ends without the end mark, so that the answer does not look whole
+	}
+	if answer != nil {
+		q.deliver(answer, answerBody)
+		return
+	}
+	q.fail(ctx, failure)
+}
+
+// waitLimit is how long after its arrival a prompt waits for room.
+func (q *request) waitLimit() time.Duration {
+	return time.Duration(waitAims * float64(q.route.Aim))
+}
+
+func (q *request) pick(now time.Time) (*endpoint.Placement, *customer.Refusal) {
+	s := q.table.Services()[q.service]
+	if s == nil || s.Engine == nil {
+		return q.h.fleet.PlaceCall(now, q.service, q.tried)
+	}
+	return q.h.fleet.PlaceGeneration(now, q.service, endpoint.Prompt{
+		Tokens: q.call.PromptTokens, Output: q.call.OutputTokens, Aim: q.route.Aim, Waited: now.Sub(q.call.Arrived),
+		Pause: q.route.Pause,
+	}, q.tried)
+}
+
+// delivery is the part of a stream that the caller has.
+type delivery struct {
+	q       *request
+	begun   bool
+	last    string // ID of the last event
+	events  int
+	firstAt time.Time
+}
+
+// run performs one attempt of a stream. It returns a nil body where the stream ended whole, and a body where the endpoint
+// answered with something else than a stream.
+func (q *request) run(ctx context.Context, p *endpoint.Placement, d *delivery) (head Head, body []byte, failure *customer.Refusal) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	sent := time.Now()
+	silence := max(silentPauses*q.route.Pause, shortestSilence)
+	first := max(p.Expected()+firstEventSlack, shortestSilence)
+	watch := q.watch(p, first, silence, func() { cancel(errSilent) })
+	defer watch.stop()
+
+	outcome := endpoint.Broken
+	defer func() {
+		p.End(time.Now(), outcome)
+		q.logAttempt(p, head, failure, sent)
+		verdict := customer.MayHaveRun
+		if failure != nil {
+			verdict = failure.Verdict()
+		}
+		q.count(p.First().ID, verdict)
+	}()
+	last := ""
+	if d.begun {
+		last = d.last
+	}
+	head, resp, sendErr := q.send(ctx, p, last)
+	if sendErr == nil {
+		defer resp.Body.Close()
+	}
+	if sendErr != nil || !head.Own || head.NotRun || head.Status != http.StatusOK || !head.Genuine {
+		if sendErr == nil {
+			var err error
+			if body, err = io.ReadAll(io.LimitReader(resp.Body, longestEvent)); err != nil && !head.NotRun {
+				sendErr = &sendError{verdict: customer.MayHaveRun, err: err}
+			}
+		}
+		failure, outcome = q.judge(ctx, head, sendErr, false)
+		if failure == nil && body == nil {
+			body = []byte{}
+		}
+		return head, body, failure
+	}
+	err := d.copy(head, resp.Body, p, watch.event)
+	switch {
+	case err == nil:
+		outcome = endpoint.Good
+		return head, nil, nil
+	case context.Cause(ctx) == errSilent:
+		return head, nil, customer.Fail(customer.ReasonEndpointFailed, "the endpoint was silent for too long")
+	case ctx.Err() != nil:
+		outcome = withdrawn(ctx)
+		return head, nil, customer.Fail(customer.ReasonDeadline, "the time limit is over or the caller left")
+	case errors.Is(err, errDeliver):
+		outcome = endpoint.Withdraw
+		return head, nil, customer.Fail(customer.ReasonCallerGone, err.Error())
+	default:
+		return head, nil, customer.Fail(customer.ReasonEndpointFailed, "the stream broke off: "+err.Error())
+	}
+}
+
+// watch ends an attempt whose endpoint is silent for too long, while another endpoint could go on. On the last attempt the
+// request waits up to its time limit: a late event is worth more than none.
+type watch struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	last    time.Time // of the last event or the send
+	silence time.Duration
+	stopped bool
+}
+
+func (q *request) watch(p *endpoint.Placement, first, silence time.Duration, end func()) *watch {
+	w := &watch{last: time.Now(), silence: first}
+	if q.sends+1 >= q.route.Attempts || !q.route.Kind.Repeatable() {
+		return w
+	}
+	w.timer = time.AfterFunc(first, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		now := time.Now()
+		// Reads that all VMs know of explain silence: streams pause while a prompt is read.
+		left := w.last.Add(w.silence + p.Pending(now)).Sub(now)
+		switch {
+		case w.stopped:
+		case left > 0:
+			w.timer.Reset(max(left, time.Millisecond))
+		default:
+			end()
+		}
+		w.silence = silence
+	})
+	return w
+}
+
+// event notes progress. The timer looks at it when it fires.
+func (w *watch) event() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = time.Now()
+}
+
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// errDeliver is a failure to write to the caller.
+var errDeliver = errors.New("the caller takes no answer")
+
+// errSilent ends an attempt whose endpoint sends nothing for too long.
+var errSilent = errors.New("the endpoint is silent")
+
+// copy passes on whole events until the end of the stream. progress is called for each one.
+func (d *delivery) copy(head Head, body io.Reader, p *endpoint.Placement, progress func()) error {
+	r := bufio.NewReader(body)
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case err == bufio.ErrBufferFull && len(event) <= longestEvent:
+			continue
+		case err == io.EOF && len(event) == 0:
+			if !d.begun {
+				d.begin(head)
+			}
+			return nil
+		case err == io.EOF:
+			return errors.New("the stream ended within an event")
+		case err != nil:
+			return err
+		case len(event) > longestEvent:
+			return errors.New("an event is too long")
+		}
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue // an event ends with an empty line
+		}
+		progress()
+		if d.events == 0 || d.firstAt.IsZero() {
+			d.firstAt = time.Now()
+			d.q.h.first.UpdateSince(d.q.call.Arrived)
+		}
+		p.Begun()
+		if err := d.write(head, event); err != nil {
+			return err
+		}
+		event = event[:0]
+	}
+}
+
+func (d *delivery) begin(head Head) {
+	header := d.q.w.Header()
+	copyHeader(header, head.Header)
+	d.q.w.WriteHeader(head.Status)
+	d.begun = true
+}
+
+// write delivers one event, unless the caller has it.
+func (d *delivery) write(head Head, event []byte) error {
+	id := eventID(event)
+	if id != "" && d.last != "" && !follows(id, d.last) {
+		return nil
+	}
+	if !d.begun {
+		d.begin(head)
+	}
+	if _, err := d.q.w.Write(event); err != nil {
+		return errors.WithMessage(errDeliver, err.Error())
+	}
+	if err := http.NewResponseController(d.q.w).Flush(); err != nil {
+		return errors.WithMessage(errDeliver, err.Error())
+	}
+	d.events++
+	if id != "" {
+		d.last = id
+	}
+	return nil
+}
+
+// eventID returns the ID in an event, or "".
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
+
+// follows says whether the event with ID a comes after the one with ID b. IDs that are no numbers are taken as they come.
+func follows(a, b string) bool {
+	x, err := strconv.ParseInt(a, 10, 64)
+	y, err2 := strconv.ParseInt(b, 10, 64)
+	return err != nil || err2 != nil || x > y
+}
