--- a/vm/vm.go
+++ b/vm/vm.go
@@ -65,8 +65,8 @@
 	weights      *oplog.WeightStore
 	orders       *orders
 	run          atomic.Pointer[oplog.PlaceRun] // this run, once it may lend
-	lending      atomic.Bool                       // no earlier VM at the place lends
-	fleetApplied atomic.Uint64                     // newest revision of the fleet document that the node has applied
+	lending      atomic.Bool                    // no earlier VM at the place lends
+	fleetApplied atomic.Uint64                  // newest revision of the fleet document that the node has applied
 
 	current   atomic.Pointer[view]
 	started   time.Time
