endpoint: Divide long prompts among engines whose streams they do not disturb

Change: reads are predicted as a queue for each engine; a long prompt takes engines where its part keeps the accepted pause, waits for them while it still begins in time, and disturbs the fewest streams after that.

--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,10 +28,11 @@
 	Works    []Work
 }
 
-// load sums what runs on one endpoint.
+// load is what runs on one endpoint.
 type load struct {
-	unread  time.Duration // reads that have not ended, with what they are overdue
-	pending time.Duration // the like, without what they are overdue
+	busy    time.Duration // until all reads have ended
+	queued  time.Duration // reads that enter the next pass
+	pending time.Duration // reads that have not ended, whatever their progress
 	writers int
 	running int
 	context int
@@ -38,19 +40,16 @@
 	strict  int           // streams with the shortest pause
 }
 
-// overdueGrace is how long a read may exceed its cost before it counts against the endpoint: reads wait for the pass that is
-// under way, which a read of the usual bound stretches to about this.
-const overdueGrace = 300 * time.Millisecond
+const (
+	// overdueGrace is how long a read may exceed its predicted end before that counts against the endpoint.
+	overdueGrace = 300 * time.Millisecond
+	// readStart is the usual time from the send of a prompt to the pass that reads it.
+	readStart = 20 * time.Millisecond
+)
 
-func (l *load) add(w *Work, now time.Time) {
+// add counts a request's work, apart from its read.
+func (l *load) add(w *Work) {
 	l.context += w.Context
-	if w.Read > 0 {
-		l.pending += w.Read
-		l.unread += w.Read
-		if late := now.Sub(w.Since) - w.Read - overdueGrace; late > 0 {
-			l.unread += late
-		}
-	}
 	if !w.Writing {
 		return
 	}
@@ -70,6 +69,31 @@
 	}
 }
 
+// read predicts when the reads end, which the endpoint performs one after the other. The end of a part that another engine
+// reads for a request is not told by anybody, so the prediction stands for it. A read whose first event is overdue counts
+// on.
+func (l *load) read(reads []*Work, now time.Time) {
+	slices.SortFunc(reads, func(a, b *Work) int { return a.Since.Compare(b.Since) })
+	var end time.Time
+	for _, w := range reads {
+		begin := w.Since.Add(readStart)
+		if end.After(begin) {
+			begin = end
+		}
+		end = begin.Add(w.Read)
+		l.pending += w.Read
+		if begin.After(now) {
+			l.queued += w.Read
+		}
+		if late := now.Sub(end) - overdueGrace; late > 0 && w.Writing {
+			l.busy += late
+		}
+	}
+	if left := end.Sub(now); left > 0 {
+		l.busy += left
+	}
+}
+
 // peerLoad is what a peer reported of one endpoint.
 type peerLoad struct {
 	works []Work
@@ -83,8 +107,16 @@
 // load returns the sum of this VM's work and of what peers reported.
 func (m *member) load(now time.Time) load {
 	var l load
+	var buffer [16]*Work
+	reads := buffer[:0]
+	take := func(w *Work) {
+		l.add(w)
+		if w.Read > 0 {
+			reads = append(reads, w)
+		}
+	}
 	for _, w := range m.own {
-		l.add(w, now)
+		take(w)
 	}
 	for vm, p := range m.others {
 		if now.Sub(p.at) > peerLoadLife {
@@ -92,9 +124,10 @@
 			continue
 		}
 		for i := range p.works {
-			l.add(&p.works[i], now)
+			take(&p.works[i])
 		}
 	}
+	l.read(reads, now)
 	return l
 }
 
--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -115,15 +115,24 @@
 	m     *member
 	load  load
 	pass  time.Duration // length of a pass there without reads
+	room  bool          // it has a place and memory for the request itself
 	score time.Duration
 }
 
+// harmless says whether a read of that length keeps the pause that the callers of the engine's streams accept.
+func (c *candidate) harmless(read time.Duration) bool {
+	return c.load.pause == 0 || c.pass+c.load.queued+read <= c.load.pause-pauseMargin
+}
+
+// finish is when a read of that length will have ended at the engine.
+func (c *candidate) finish(read time.Duration) time.Duration { return c.load.busy + read + 2*c.pass }
+
 // PlaceGeneration selects the engines that read a prompt, and among them the one that gets the request.
 //
 // All VMs know the engines in the same order, by the hash of their IDs. A prompt that fits into one pass goes to the first
 // engine in that order which has room for it, so that streams with short accepted pauses gather at the beginning of the
-// order and the engines at the end stay free for long reads. A long prompt is divided among the engines where it disturbs
-// the fewest streams.
+// order and the engines at the end stay free for long reads. A long prompt is divided among engines whose streams it does
+// not disturb. It waits for them while it still begins in time, and takes the engines where it disturbs least after that.
 func (f *Fleet) PlaceGeneration(now time.Time, service string, prompt Prompt, exclude []string) (*Placement, *customer.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -136,29 +145,34 @@
 	if prompt.Tokens+prompt.Output > engine.Memory {
 		return nil, customer.Refuse(customer.ReasonMemory, "the prompt needs more memory than an engine has")
 	}
-	candidates, full := f.candidatesLocked(now, s, prompt, exclude)
-	if len(candidates) == 0 {
-		return nil, f.refuseLocked(now, service, full)
+	candidates, room := f.candidatesLocked(now, s, prompt, exclude)
+	if room == 0 {
+		return nil, f.refuseLocked(now, service, len(candidates))
 	}
 	read := engine.ReadTime(prompt.Tokens)
 	var chosen []candidate
 	if read <= f.passBudget(engine) {
-		chosen = []candidate{f.firstFit(candidates, read, engine, s)}
-	} else {
-		chosen = f.divide(candidates, read, prompt)
+		chosen = []candidate{f.firstFit(candidates, read, engine)}
+	} else if chosen = f.divide(candidates, read, prompt); chosen == nil {
+		return nil, customer.Refuse(customer.ReasonQueueFull, "the engines are reading other prompts", customer.RetryAfter(retryFull))
 	}
-	first := chosen[0]
-	for _, c := range chosen[1:] {
-		if c.load.context < first.load.context {
+	return f.reserveLocked(now, s, prompt, chosen, read/time.Duration(len(chosen))), nil
+}
+
+// reserveLocked counts the request against the chosen engines.
+func (f *Fleet) reserveLocked(now time.Time, s *Service, prompt Prompt, chosen []candidate, part time.Duration) *Placement {
+	var first *candidate
+	for i := range chosen {
+		if c := &chosen[i]; c.room && (first == nil || c.load.context < first.load.context) {
 			first = c
 		}
 	}
-	p := f.placeLocked(service, first.m, s, now)
-	p.unread, p.running = first.load.unread, first.load.running
-	part := read / time.Duration(len(chosen))
-	for _, c := range chosen {
-		p.expected = max(p.expected, c.load.unread+part+2*c.pass)
-		if c.m == first.m {
+	p := f.placeLocked(s.Name, first.m, s, now)
+	p.unread, p.running = first.load.busy, first.load.running
+	for i := range chosen {
+		c := &chosen[i]
+		p.expected = max(p.expected, c.finish(part))
+		if c == first {
 			continue
 		}
 		p.helpers = append(p.helpers, c.m)
@@ -168,25 +182,25 @@
 		}
 	}
 	f.addLocked(p, first.m, Work{Read: part, Since: now, Context: prompt.Tokens + prompt.Output, Writing: true, Pause: prompt.Pause})
-	return p, nil
+	return p
 }
 
-// candidatesLocked returns the engines that may get a part of the prompt, in the common order, and how many were full.
-func (f *Fleet) candidatesLocked(now time.Time, s *Service, prompt Prompt, exclude []string) ([]candidate, int) {
-	var candidates []candidate
-	full := 0
+// candidatesLocked returns the engines that may read a part of the prompt, in the common order, and how many of them have
+// room for the request itself.
+func (f *Fleet) candidatesLocked(now time.Time, s *Service, prompt Prompt, exclude []string) (candidates []candidate, room int) {
 	for _, m := range f.pools[s.Name] {
 		if slices.Contains(exclude, m.entry.ID) || !f.usable(m, s, now) {
 			continue
 		}
 		l := m.load(now)
-		if l.running >= max(s.Engine.Slots, 1) || l.context+prompt.Tokens+prompt.Output > s.Engine.Memory {
-			full++
-			continue
+		c := candidate{m: m, load: l, pass: s.Engine.PassTime(l.running+1, l.context)}
+		c.room = l.running < max(s.Engine.Slots, 1) && l.context+prompt.Tokens+prompt.Output <= s.Engine.Memory
+		if c.room {
+			room++
 		}
-		candidates = append(candidates, candidate{m: m, load: l, pass: s.Engine.PassTime(l.running+1, l.context)})
+		candidates = append(candidates, c)
 	}
-	return candidates, full
+	return candidates, room
 }
 
 // passBudget is the longest read that one pass may hold without exceeding the shortest pause that callers accept.
@@ -197,8 +211,8 @@
 // score is the time until a read of that length has ended at the engine, with penalties for the streams that it disturbs and
 // for failures of the engine.
 func (f *Fleet) score(c *candidate, read time.Duration) time.Duration {
-	score := c.load.unread + c.pass/2
-	if c.load.pause > 0 && c.pass+c.load.unread+read > c.load.pause-pauseMargin {
+	score := c.load.busy + c.pass/2
+	if !c.harmless(read) {
 		score += time.Duration(c.load.strict) * strictPenalty
 	}
 	score += time.Duration(c.m.health.failures * float64(failurePenalty))
@@ -207,36 +221,104 @@
 
 // firstFit returns the first engine in the common order that reads the prompt in its next pass without disturbing its
 // streams, or else the one with the best score.
-func (f *Fleet) firstFit(candidates []candidate, read time.Duration, e *Engine, s *Service) candidate {
+func (f *Fleet) firstFit(candidates []candidate, read time.Duration, e *Engine) candidate {
 	fill := int(slotShare * float64(e.Slots))
-	for _, c := range candidates {
-		busy := c.load.unread > 0 && c.load.unread+read > f.passBudget(e)*2/3
+	best := -1
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.room {
+			continue
+		}
+		busy := c.load.busy > 0 && c.load.busy+read > f.passBudget(e)*2/3
 		pause := c.load.pause
 		if pause == 0 {
 			pause = defaultPause
 		}
-		if !busy && c.load.running < fill && c.pass+c.load.unread+read <= pause-pauseMargin && c.m.health.failures < failureWeight {
-			return c
+		if !busy && c.load.running < fill && c.pass+c.load.queued+read <= pause-pauseMargin && c.m.health.failures < failureWeight {
+			return *c
+		}
+		c.score = f.score(c, read)
+		if best < 0 || c.score < candidates[best].score {
+			best = i
 		}
 	}
-	for i := range candidates {
-		candidates[i].score = f.score(&candidates[i], read)
-	}
-	return slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	return candidates[best]
 }
 
-// longPart is the read that one engine gets of a long prompt, where enough engines are free.
-const longPart = 350 * time.Millisecond
+// Lengths of the parts of long prompts.
+const (
+	longPart    = 350 * time.Millisecond // part that one engine reads, where enough engines are free
+	longestPart = 900 * time.Millisecond // a longer part would exceed the pause that callers of long prompts accept
+	// aimShare is the part of the aim within which a long prompt has to begin by the prediction. The rest covers what the
+	// prediction leaves out.
+	aimShare = 0.75
+)
 
-// divide returns the engines that read a long prompt, each an even part.
+// divide returns the engines that read a long prompt, each an even part, or nothing where the prompt should wait.
 func (f *Fleet) divide(candidates []candidate, read time.Duration, prompt Prompt) []candidate {
-	n := int((read + longPart - 1) / longPart)
-	n = min(n, maxHelpers+1, len(candidates))
+	most := min(maxHelpers+1, len(candidates))
+	var best []candidate
+	var bestFinish time.Duration
+	for n := 1; n <= most; n++ {
+		part := read / time.Duration(n)
+		if part > longestPart && n < most {
+			continue
+		}
+		free := f.harmless(candidates, part)
+		if len(free) < n || !hasRoom(free[:n]) {
+			continue
+		}
+		finish := free[n-1].finish(part)
+		if best == nil || finish < bestFinish {
+			best, bestFinish = free[:n], finish
+		}
+		if part <= longPart {
+			break
+		}
+	}
+	if best != nil && prompt.Waited+bestFinish <= prompt.Aim {
+		return best
+	}
+	// Free engines would read the prompt in parts of the usual length.
+	if prompt.Waited+2*longPart < time.Duration(aimShare*float64(prompt.Aim)) {
+		return nil
+	}
+	if best != nil {
+		return best
+	}
+	return f.leastHarm(candidates, read, most)
+}
+
+// harmless returns the engines that a read of that length does not disturb, those that end it first at the beginning.
+func (f *Fleet) harmless(candidates []candidate, part time.Duration) []candidate {
+	var free []candidate
+	for _, c := range candidates {
+		if c.m.health.failures < failureWeight && c.harmless(part) {
+			c.score = c.load.busy + time.Duration(f.random()*float64(jitter))
+			free = append(free, c)
+		}
+	}
+	slices.SortFunc(free, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	return free
+}
+
+func hasRoom(candidates []candidate) bool {
+	return slices.ContainsFunc(candidates, func(c candidate) bool { return c.room })
+}
+
+// leastHarm returns engines for a prompt that cannot wait any longer.
+func (f *Fleet) leastHarm(candidates []candidate, read time.Duration, most int) []candidate {
+	n := min(int((read+longPart-1)/longPart), most)
 	part := read / time.Duration(n)
 	for i := range candidates {
 		candidates[i].score = f.score(&candidates[i], part)
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	// The first engines may lack room for the request itself; one that has it takes the last part.
+	if chosen := candidates[:n]; !hasRoom(chosen) {
+		i := slices.IndexFunc(candidates, func(c candidate) bool { return c.room })
+		chosen[n-1] = candidates[i]
+	}
 	return candidates[:n]
 }
 
--- /dev/null
+++ b/endpoint/place_test.go
@@ -0,0 +1,351 @@
+package endpoint_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"goldcrestpath/customer"
+	"goldcrestpath/endpoint"
+)
+
+const model = "model"
+
+var start = time.Unix(1_700_000_000, 0)
+
+// testEngine reads a prompt of 5,000 tokens in about 30 ms and one of 150,000 in about 2.9 s.
+func testEngine() *endpoint.Engine {
+	return &endpoint.Engine{
+		Slots: 16, Memory: 315_000, Step: 850 * time.Microsecond, StepPerSequence: 4 * time.Microsecond, StepPerContext: 3 * time.Microsecond,
+		ReadRate: 177_000, PairTime: 184 * time.Microsecond, Chunk: 2048, Stride: 51,
+	}
+}
+
+// newFleet returns a fleet of n model engines.
+func newFleet(n int, opts ...endpoint.FleetOption) *endpoint.Fleet {
+	f := endpoint.NewFleet(append([]endpoint.FleetOption{endpoint.WithRandom(func() float64 { return 0 })}, opts...)...)
+	f.SetServices(map[string]*endpoint.Service{model: {Name: model, ColdPerSecond: 26, Engine: testEngine()}})
+	for i := range n {
+		f.Put(start, engineEntry(i), 0)
+	}
+	return f
+}
+
+func engineEntry(i int) endpoint.Entry {
+	return endpoint.Entry{
+		ID: fmt.Sprintf("e%02d", i), Service: model, Address: fmt.Sprintf("10.0.0.%d:80", i+1), DataCentre: fmt.Sprintf("dc%d", i%3), Slots: 16,
+	}
+}
+
+var (
+	shortPrompt = endpoint.Prompt{Tokens: 5_000, Output: 1_600, Aim: 300 * time.Millisecond, Pause: 250 * time.Millisecond}
+	longPrompt  = endpoint.Prompt{Tokens: 150_000, Output: 800, Aim: 3 * time.Second, Pause: time.Second}
+)
+
+func place(t *testing.T, f *endpoint.Fleet, now time.Time, p endpoint.Prompt, exclude ...string) *endpoint.Placement {
+	t.Helper()
+	placement, refusal := f.PlaceGeneration(now, model, p, exclude)
+	if refusal != nil {
+		t.Fatalf("PlaceGeneration: %v", refusal)
+	}
+	return placement
+}
+
+// engines returns the sorted IDs of all engines that read for the placement.
+func engines(p *endpoint.Placement) []string {
+	ids := []string{p.First().ID}
+	for _, h := range p.Helpers() {
+		ids = append(ids, h.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Pattern: a steady stream of short prompts. Guards against short prompts that spread over all engines, so that each long
+// read disturbs some of their streams.
+func TestShortPromptsGather(t *testing.T) {
+	f := newFleet(21)
+	used := map[string]int{}
+	now := start
+	for range 40 {
+		p := place(t, f, now, shortPrompt)
+		used[p.First().ID]++
+		now = now.Add(100 * time.Millisecond)
+		p.Begun()
+	}
+	if len(used) > 4 {
+		t.Errorf("40 short streams run on %d engines; 16 fit on one", len(used))
+	}
+	for id, n := range used {
+		if n >= 16 {
+			t.Errorf("%s has %d streams; no place is left for what another VM sends at the same moment", id, n)
+		}
+	}
+}
+
+// Pattern: many short prompts at one moment. Guards against a pass that holds more reads than the callers' pause allows.
+func TestShortPromptsAtOnceSpread(t *testing.T) {
+	f := newFleet(21)
+	used := map[string]int{}
+	for range 30 {
+		used[place(t, f, start, shortPrompt).First().ID]++
+	}
+	for id, n := range used {
+		if read := time.Duration(n) * testEngine().ReadTime(5_000); read > 200*time.Millisecond {
+			t.Errorf("%s reads for %v in one pass", id, read)
+		}
+	}
+}
+
+// Pattern: long prompts beside short streams. Guards against a long read on an engine whose streams it would pause for
+// longer than their callers accept.
+func TestLongPromptAvoidsShortStreams(t *testing.T) {
+	f := newFleet(21)
+	now := start
+	short := map[string]bool{}
+	for range 30 {
+		p := place(t, f, now, shortPrompt)
+		short[p.First().ID] = true
+		now = now.Add(100 * time.Millisecond)
+		p.Begun()
+	}
+	p := place(t, f, now, longPrompt)
+	for _, id := range engines(p) {
+		if short[id] {
+			t.Errorf("the long prompt is read on %s, which writes short answers", id)
+		}
+	}
+	if p.Expected() > longPrompt.Aim {
+		t.Errorf("the first event is expected after %v", p.Expected())
+	}
+}
+
+// Pattern: long prompts beyond what is free. Guards against long reads that meet on the same engines while waiting would
+// still be in time, and against waiting beyond that.
+func TestLongPromptWaitsForFreeEngines(t *testing.T) {
+	f := newFleet(4)
+	now := start
+	for range 36 {
+		p := place(t, f, now, shortPrompt)
+		now = now.Add(100 * time.Millisecond)
+		p.Begun()
+	}
+	_, refusal := f.PlaceGeneration(now, model, longPrompt, nil)
+	if refusal == nil || refusal.Verdict() != customer.NotRun {
+		t.Fatalf("refusal = %v, want the prompt to wait while every engine writes short answers", refusal)
+	}
+	late := longPrompt
+	late.Waited = 2900 * time.Millisecond
+	place(t, f, now, late)
+}
+
+// Guards against a read that counts against an engine after it must have ended: nobody tells when a helper's part is done.
+func TestHelpersPartEnds(t *testing.T) {
+	f := newFleet(8)
+	p := place(t, f, start, longPrompt)
+	if len(p.Helpers()) == 0 {
+		t.Fatal("the long prompt is not divided")
+	}
+	again := place(t, f, start.Add(1500*time.Millisecond), longPrompt)
+	if again.Unread() > 0 {
+		t.Errorf("%v unread on the first engine long after the parts ended", again.Unread())
+	}
+}
+
+// Guards against a VM that stays blind to what its peers send, and against loads of a VM that is gone.
+func TestPeerLoads(t *testing.T) {
+	a, b := newFleet(2), newFleet(2)
+	first := place(t, a, start, shortPrompt).First().ID
+	for range 11 {
+		place(t, a, start, shortPrompt, other(first)).Begun()
+	}
+	b.MergeLoads(start, "vm-a", a.TakeLoads())
+	if got := place(t, b, start, shortPrompt).First().ID; got == first {
+		t.Errorf("vm-b sends to %s, which is full of vm-a's streams", got)
+	}
+	later := start.Add(3 * time.Second)
+	if got := place(t, b, later, shortPrompt).First().ID; got != first {
+		t.Errorf("vm-b avoids %s although vm-a has been silent for 3 s", first)
+	}
+}
+
+func other(id string) string {
+	if id == "e00" {
+		return "e01"
+	}
+	return "e00"
+}
+
+// Guards against requests to endpoints that leave, are taken out, or run under another start.
+func TestUnusableEndpoints(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(f *endpoint.Fleet)
+	}{
+		{"draining", func(f *endpoint.Fleet) { e := engineEntry(0); e.Draining = true; f.Put(start, e, 0) }},
+		{"removed", func(f *endpoint.Fleet) { f.Remove(start, "e00", false) }},
+		{"data centre drained", func(f *endpoint.Fleet) { f.SetDrained(map[string]bool{"dc0": true}) }},
+		{"draining and lapsed", func(f *endpoint.Fleet) {
+			e := engineEntry(0)
+			e.Draining = true
+			f.Put(start, e, 0)
+			f.Remove(start, "e00", true)
+		}},
+	} {
+		f := newFleet(1)
+		c.change(f)
+		_, refusal := f.PlaceGeneration(start, model, shortPrompt, nil)
+		if refusal == nil || refusal.Reason() != customer.ReasonNoEndpoint || refusal.RetryAfter() <= 0 {
+			t.Errorf("%s: refusal = %v, want noEndpoint with a time to come back", c.name, refusal)
+		}
+	}
+}
+
+// Guards against losing all endpoints because their entries lapsed while the store was away.
+func TestLapsedEntryStaysForAWhile(t *testing.T) {
+	f := newFleet(1)
+	f.Remove(start, "e00", true)
+	place(t, f, start.Add(2*time.Second), shortPrompt)
+	if _, refusal := f.PlaceGeneration(start.Add(3*time.Second), model, shortPrompt, nil); refusal == nil {
+		t.Error("an entry that did not return is still used after 3 s")
+	}
+	f = newFleet(1)
+	f.Remove(start, "e00", true)
+	f.Put(start.Add(time.Second), engineEntry(0), 0)
+	place(t, f, start.Add(time.Minute), shortPrompt)
+}
+
+// Guards against an endpoint that fails and is chosen again and again.
+func TestFailingEngineIsPassedOver(t *testing.T) {
+	f := newFleet(2)
+	p := place(t, f, start, shortPrompt)
+	bad := p.First().ID
+	p.End(start, endpoint.Broken)
+	if got := place(t, f, start, shortPrompt).First().ID; got == bad {
+		t.Errorf("%s is chosen right after it broke", bad)
+	}
+	// After the pause a single request finds out whether it works again.
+	now := start.Add(time.Second)
+	probe := place(t, f, now, shortPrompt, other(bad))
+	if _, refusal := f.PlaceGeneration(now, model, shortPrompt, []string{other(bad)}); refusal == nil {
+		t.Error("a second request goes to an endpoint that is being probed")
+	}
+	probe.End(now, endpoint.Good)
+	place(t, f, now, shortPrompt, other(bad))
+}
+
+// Guards against a cold endpoint that gets more than it bears from all VMs together.
+func TestColdBoundHoldsForAllVMs(t *testing.T) {
+	for _, n := range []int{1, 3, 9, 59} {
+		total := 0
+		for rank := range n {
+			f := newFleet(0, endpoint.WithColdBound(1.5, 5))
+			f.SetVMs(rank, n)
+			e := engineEntry(0)
+			e.ColdRemaining = time.Minute
+			f.Put(start, e, 0)
+			for range 60 {
+				p, refusal := f.PlaceGeneration(start, model, shortPrompt, nil)
+				if refusal != nil {
+					break
+				}
+				p.End(start, endpoint.Withdraw)
+				total++
+			}
+		}
+		if bound := int(26*1.5 + 5); total > bound || total == 0 {
+			t.Errorf("%d VMs send %d requests in one second, the bound is %d", n, total, bound)
+		}
+	}
+}
+
+// Guards against calls that gather on one instance, or on one that fails.
+func TestPlaceCall(t *testing.T) {
+	f := endpoint.NewFleet(endpoint.WithRandom(func() float64 { return 0 }))
+	f.SetServices(map[string]*endpoint.Service{"desk": {Name: "desk"}})
+	for i := range 3 {
+		f.Put(start, endpoint.Entry{ID: fmt.Sprint("d", i), Service: "desk", Address: "10.0.1.1:80", DataCentre: "dc0", Slots: 2}, 0)
+	}
+	used := map[string]int{}
+	var all []*endpoint.Placement
+	for range 6 {
+		p, refusal := f.PlaceCall(start, "desk", nil)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		used[p.First().ID]++
+		all = append(all, p)
+	}
+	if diff := cmp.Diff(map[string]int{"d0": 2, "d1": 2, "d2": 2}, used); diff != "" {
+		t.Error(diff)
+	}
+	for _, p := range all {
+		o := endpoint.Good
+		if p.First().ID == "d0" {
+			o = endpoint.Errored
+		}
+		p.End(start, o)
+	}
+	for range 4 {
+		p, refusal := f.PlaceCall(start, "desk", nil)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		if p.First().ID == "d0" {
+			t.Error("a call goes to the instance that fails")
+		}
+	}
+}
+
+// Guards against retries beyond the deployment's bound, summed over its VMs.
+func TestRetryBudget(t *testing.T) {
+	const vms, window = 9, 10 * time.Second
+	total := 0
+	for range vms {
+		b := endpoint.NewRetryBudget(0.2, 100, window)
+		b.SetVMs(vms)
+		for range 10 {
+			b.Request(start, "desk")
+		}
+		for b.Spend(start, "desk") {
+			total++
+		}
+		if !b.Spend(start.Add(window+time.Second), "desk") {
+			t.Error("the budget does not recover after the window")
+		}
+	}
+	if bound := 0.2*vms*10 + 100; float64(total) > bound || total == 0 {
+		t.Errorf("%d retries in one window, the bound is %v", total, bound)
+	}
+}
+
+func BenchmarkPlaceShort(b *testing.B) {
+	for _, n := range []int{21, 70} {
+		b.Run(fmt.Sprint(n, " engines"), func(b *testing.B) {
+			f := newFleet(n)
+			f.MergeLoads(start, "vm", busyLoads(n))
+			b.ReportAllocs()
+			for b.Loop() {
+				p, refusal := f.PlaceGeneration(start, model, shortPrompt, nil)
+				if refusal != nil {
+					b.Fatal(refusal)
+				}
+				p.End(start, endpoint.Good)
+			}
+		})
+	}
+}
+
+func busyLoads(n int) []endpoint.Load {
+	loads := make([]endpoint.Load, n)
+	for i := range loads {
+		loads[i].Endpoint = endpoint.KeyOf(engineEntry(i).ID)
+		for range 5 {
+			loads[i].Works = append(loads[i].Works, endpoint.Work{Since: start, Context: 6000, Writing: true, Pause: 250 * time.Millisecond})
+		}
+	}
+	return loads
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
+
 	"goldcrestpath/customer"
 	"goldcrestpath/endpoint"
 )
@@ -160,15 +162,25 @@
 	}
 }
 
+// logAttempt writes what decided an attempt and how it ended.
 func (q *request) logAttempt(p *endpoint.Placement, head Head, refusal *customer.Refusal, sent time.Time) {
-	e := q.log().WithField("endpoint", p.First().ID).WithField("address", p.First().Address).WithField("status", head.Status).
-		WithField("tookMs", time.Since(sent).Milliseconds()).WithField("running", p.Running()).WithField("unreadMs", p.Unread().Milliseconds()).
-		WithField("helpers", len(p.Helpers())).WithField("expectedMs", p.Expected().Milliseconds())
-	if refusal != nil {
-		e = e.WithField("verdict", refusal.Verdict().String()).WithField("failure", refusal.Message())
-		if head.AtFault != "" {
-			e = e.WithField("atFault", head.AtFault)
+	first := p.First()
+	fields := log.Fields{
+		"endpoint": first.ID, "address": first.Address, "status": head.Status, "tookMs": time.Since(sent).Milliseconds(),
+		"running": p.Running(), "unreadMs": p.Unread().Milliseconds(), "expectedMs": p.Expected().Milliseconds(),
+	}
+	if helpers := p.Helpers(); len(helpers) > 0 {
+		ids := make([]string, len(helpers))
+		for i, t := range helpers {
+			ids[i] = t.ID
 		}
+		fields["helpers"] = ids
+	}
+	if refusal != nil {
+		fields["verdict"], fields["failure"] = refusal.Verdict().String(), refusal.Message()
+	}
+	if head.AtFault != "" {
+		fields["atFault"] = head.AtFault
 	}
-	e.Info("forward: sent")
+	q.log().WithFields(fields).Info("forward: sent")
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -242,7 +242,7 @@
 func (q *request) log() *log.Entry {
 	return q.h.logger.WithFields(log.Fields{
 		"request": q.call.ID, "route": q.route.Name, "service": q.service, "configuration": q.table.Version(),
-		"ageMs": time.Since(q.call.Arrived).Milliseconds(),
+		"ageMs": time.Since(q.call.Arrived).Milliseconds(), "promptTokens": q.call.PromptTokens,
 	})
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"goldcrestpath/customer"
@@ -43,7 +44,9 @@
 		head, body, err := q.run(ctx, p, d)
 		if err == nil && body == nil {
 			q.h.answered.UpdateSince(q.call.Arrived)
-			q.log().WithField("events", d.events).WithField("firstMs", d.firstAt.Sub(q.call.Arrived).Milliseconds()).Info("forward: answered")
+			q.log().WithFields(log.Fields{
+				"events": d.events, "firstMs": d.firstAt.Sub(q.call.Arrived).Milliseconds(), "longestPauseMs": d.pause.Milliseconds(),
+			}).Info("forward: answered")
 			return
 		}
 		reason := "endpointFailed"
@@ -96,6 +99,8 @@
 	last    string // ID of the last event
 	events  int
 	firstAt time.Time
+	lastAt  time.Time
+	pause   time.Duration // longest time between two events
 }
 
 // run performs one attempt of a stream. It returns a nil body where the stream ended whole, and a body where the endpoint
@@ -239,10 +244,7 @@
 			continue // an event ends with an empty line
 		}
 		progress()
-		if d.events == 0 || d.firstAt.IsZero() {
-			d.firstAt = time.Now()
-			d.q.h.first.UpdateSince(d.q.call.Arrived)
-		}
+		d.note(time.Now())
 		p.Begun()
 		if err := d.write(head, event); err != nil {
 			return err
@@ -251,6 +253,17 @@
 	}
 }
 
+// note measures the time to the first event and the pauses between events.
+func (d *delivery) note(now time.Time) {
+	if d.firstAt.IsZero() {
+		d.firstAt = now
+		d.q.h.first.Update(now.Sub(d.q.call.Arrived))
+	} else {
+		d.pause = max(d.pause, now.Sub(d.lastAt))
+	}
+	d.lastAt = now
+}
+
 func (d *delivery) begin(head Head) {
 	header := d.q.w.Header()
 	copyHeader(header, head.Header)
