--- a/endpoint/fleet.go
+++ b/endpoint/fleet.go
@@ -21,6 +21,9 @@
 	pools                 map[string][]*member // members of each service in the order of their keys, never changed in place
 	drained               map[string]bool      // data centres that operators took out
 	changed               map[Key]bool         // endpoints where this VM's load changed since TakeLoads
+	waiters               map[*Waiter]bool     // long prompts of this VM that wait
+	peerWaits             map[string]peerWaits // those of peers
+	waitsChanged          bool                 // since TakeWaits
 	rank, n               int                  // this VM's rank among n VMs
 	coldFactor, coldExtra float64              // bound of a cold endpoint: its rate times the factor plus the extra
 	dirty                 chan struct{}        // holds a token while changed is not empty
@@ -63,6 +66,8 @@
 		pools:      map[string][]*member{},
 		drained:    map[string]bool{},
 		changed:    map[Key]bool{},
+		waiters:    map[*Waiter]bool{},
+		peerWaits:  map[string]peerWaits{},
 		n:          1,
 		coldFactor: 1,
 		wake:       make(chan struct{}),
@@ -224,11 +229,17 @@
 // touchLocked records that this VM's load on the endpoint changed.
 func (f *Fleet) touchLocked(m *member) {
 	f.changed[m.key] = true
+	f.signalLocked()
+}
+
+// signalLocked makes the exchange with peers look for changes.
+func (f *Fleet) signalLocked() {
 	select {
 	case f.dirty <- struct{}{}:
 	default: // one token is enough
 	}
 }
 
-// Dirty returns a channel that receives after this VM's load changed. TakeLoads returns the change.
+// Dirty returns a channel that receives after this VM's load or its waiting prompts changed. TakeLoads and TakeWaits return
+// the change.
 func (f *Fleet) Dirty() <-chan struct{} { return f.dirty }
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -33,7 +33,6 @@
 	busy    time.Duration // until all reads have ended
 	queued  time.Duration // reads that enter the next pass
 	pending time.Duration // reads that have not ended, whatever their progress
-	writers int
 	running int
 	context int
 	pause   time.Duration // shortest pause that a caller of a stream there accepts, 0 for none
@@ -54,10 +53,7 @@
 		return
 	}
 	l.running++
-	if w.Read > 0 {
-		return
-	}
-	l.writers++
+	// A prompt that is being read writes from the next pass on, so its pause counts too.
 	if w.Pause <= 0 {
 		return
 	}
--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"goldcrestpath/customer"
@@ -33,13 +34,18 @@
 	Output int           // tokens of the answer at most
 	Aim    time.Duration // time to the first event within which the answer is worth most
 	Waited time.Duration // since the request arrived
+	Limit  time.Duration // time from the arrival at which the request ends, 0 for none
 	Pause  time.Duration // longest pause between events that its caller accepts
+	// Returned says that the caller was refused before and came back.
+	Returned bool
+	Waiter   *Waiter // its place in the order of those that wait, nil before it waits
 }
 
 // Target is an endpoint of a placement.
 type Target struct {
 	ID      string
 	Address string
+	Memory  int // tokens of the prompt that it stores for the first endpoint, 0 for none
 }
 
 // Placement is a request that counts against its endpoints until End.
@@ -49,6 +55,7 @@
 	service  string
 	first    *member
 	helpers  []*member
+	stored   []int // tokens that each helper stores
 	expected time.Duration
 	unread   time.Duration
 	running  int
@@ -63,11 +70,14 @@
 func (p *Placement) Helpers() []Target {
 	targets := make([]Target, len(p.helpers))
 	for i, m := range p.helpers {
-		targets[i] = Target{ID: m.entry.ID, Address: m.entry.Address}
+		targets[i] = Target{ID: m.entry.ID, Address: m.entry.Address, Memory: p.stored[i]}
 	}
 	return targets
 }
 
+// Number identifies the placement among those of its VM's process.
+func (p *Placement) Number() string { return strconv.FormatUint(p.number, 36) }
+
 // Expected returns the predicted time to the first event, 0 for a plain service.
 func (p *Placement) Expected() time.Duration { return p.expected }
 
@@ -115,7 +125,8 @@
 	m     *member
 	load  load
 	pass  time.Duration // length of a pass there without reads
-	room  bool          // it has a place and memory for the request itself
+	place bool          // it has a place for the request itself
+	free  int           // tokens of memory that nothing uses
 	score time.Duration
 }
 
@@ -141,66 +152,99 @@
 	if s == nil || s.Engine == nil {
 		return nil, customer.Refuse(customer.ReasonNoEndpoint, "the service "+service+" has no engine model")
 	}
-	engine := s.Engine
-	if prompt.Tokens+prompt.Output > engine.Memory {
-		return nil, customer.Refuse(customer.ReasonMemory, "the prompt needs more memory than an engine has")
+	need := prompt.Tokens + prompt.Output
+	candidates := f.candidatesLocked(now, s, exclude)
+	if len(candidates) == 0 {
+		return nil, f.refuseLocked(now, service, 0)
+	}
+	if need > maxHelpers*s.Engine.Memory {
+		return nil, customer.Refuse(customer.ReasonMemory, "the prompt needs more memory than the engines have")
 	}
-	candidates, room := f.candidatesLocked(now, s, prompt, exclude)
-	if room == 0 {
+	if !fits(candidates, need) {
 		return nil, f.refuseLocked(now, service, len(candidates))
 	}
-	read := engine.ReadTime(prompt.Tokens)
+	read := s.Engine.ReadTime(prompt.Tokens)
 	var chosen []candidate
-	if read <= f.passBudget(engine) {
-		chosen = []candidate{f.firstFit(candidates, read, engine)}
-	} else if chosen = f.divide(candidates, read, prompt); chosen == nil {
-		return nil, customer.Refuse(customer.ReasonQueueFull, "the engines are reading other prompts", customer.RetryAfter(retryFull))
+	if read <= f.passBudget(s.Engine) {
+		chosen = f.firstFit(candidates, read, need, s.Engine)
+	}
+	if chosen == nil {
+		var refusal *customer.Refusal
+		if chosen, refusal = f.divide(now, candidates, need, s, prompt); refusal != nil {
+			return nil, refusal
+		}
 	}
 	return f.reserveLocked(now, s, prompt, chosen, read/time.Duration(len(chosen))), nil
 }
 
-// reserveLocked counts the request against the chosen engines.
+// reserveLocked counts the request against the chosen engines. Memory that the first one lacks is taken from the others.
 func (f *Fleet) reserveLocked(now time.Time, s *Service, prompt Prompt, chosen []candidate, part time.Duration) *Placement {
 	var first *candidate
 	for i := range chosen {
-		if c := &chosen[i]; c.room && (first == nil || c.load.context < first.load.context) {
+		if c := &chosen[i]; c.place && (first == nil || c.free > first.free) {
 			first = c
 		}
 	}
 	p := f.placeLocked(s.Name, first.m, s, now)
 	p.unread, p.running = first.load.busy, first.load.running
+	need := prompt.Tokens + prompt.Output
+	own := need
+	if need > first.free {
+		own = usable(first.free)
+	}
+	rest := need - own
+	// Helpers that store parts stand first, because the engines fill them in turn.
+	slices.SortStableFunc(chosen, func(a, b candidate) int { return cmp.Compare(b.free, a.free) })
 	for i := range chosen {
 		c := &chosen[i]
 		p.expected = max(p.expected, c.finish(part))
-		if c == first {
+		if c.m == p.first {
 			continue
 		}
+		stored := min(rest, usable(c.free))
+		rest -= stored
 		p.helpers = append(p.helpers, c.m)
-		f.addLocked(p, c.m, Work{Read: part, Since: now})
+		p.stored = append(p.stored, stored)
+		f.addLocked(p, c.m, Work{Read: part, Since: now, Context: stored})
 		if f.isCold(c.m, s, now) {
 			c.m.allowance.take(now)
 		}
 	}
-	f.addLocked(p, first.m, Work{Read: part, Since: now, Context: prompt.Tokens + prompt.Output, Writing: true, Pause: prompt.Pause})
+	f.addLocked(p, p.first, Work{Read: part, Since: now, Context: own, Writing: true, Pause: prompt.Pause})
 	return p
 }
 
-// candidatesLocked returns the engines that may read a part of the prompt, in the common order, and how many of them have
-// room for the request itself.
-func (f *Fleet) candidatesLocked(now time.Time, s *Service, prompt Prompt, exclude []string) (candidates []candidate, room int) {
+// usable is the part of an engine's free memory that is counted on: loads of peers are a moment old, and streams grow.
+func usable(free int) int { return max(free, 0) * 9 / 10 }
+
+// fits says whether one of the engines, or several together, can hold a request.
+func fits(candidates []candidate, need int) bool {
+	sum, place := 0, false
+	for i := range candidates {
+		c := &candidates[i]
+		if c.place && c.free >= need {
+			return true
+		}
+		place = place || c.place
+		sum += usable(c.free)
+	}
+	return place && sum >= need
+}
+
+// candidatesLocked returns the engines that may read a part of a prompt, in the common order.
+func (f *Fleet) candidatesLocked(now time.Time, s *Service, exclude []string) []candidate {
+	var candidates []candidate
 	for _, m := range f.pools[s.Name] {
 		if slices.Contains(exclude, m.entry.ID) || !f.usable(m, s, now) {
 			continue
 		}
 		l := m.load(now)
-		c := candidate{m: m, load: l, pass: s.Engine.PassTime(l.running+1, l.context)}
-		c.room = l.running < max(s.Engine.Slots, 1) && l.context+prompt.Tokens+prompt.Output <= s.Engine.Memory
-		if c.room {
-			room++
-		}
-		candidates = append(candidates, c)
+		candidates = append(candidates, candidate{
+			m: m, load: l, pass: s.Engine.PassTime(l.running+1, l.context),
+			place: l.running < max(s.Engine.Slots, 1), free: s.Engine.Memory - l.context,
+		})
 	}
-	return candidates, room
+	return candidates
 }
 
 // passBudget is the longest read that one pass may hold without exceeding the shortest pause that callers accept.
@@ -220,13 +264,13 @@
 }
 
 // firstFit returns the first engine in the common order that reads the prompt in its next pass without disturbing its
-// streams, or else the one with the best score.
-func (f *Fleet) firstFit(candidates []candidate, read time.Duration, e *Engine) candidate {
+// streams, or else the one with the best score. It returns nil where no single engine has the memory.
+func (f *Fleet) firstFit(candidates []candidate, read time.Duration, need int, e *Engine) []candidate {
 	fill := int(slotShare * float64(e.Slots))
 	best := -1
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.room {
+		if !c.place || c.free < need {
 			continue
 		}
 		busy := c.load.busy > 0 && c.load.busy+read > f.passBudget(e)*2/3
@@ -235,66 +279,175 @@
 			pause = defaultPause
 		}
 		if !busy && c.load.running < fill && c.pass+c.load.queued+read <= pause-pauseMargin && c.m.health.failures < failureWeight {
-			return *c
+			return candidates[i : i+1]
 		}
 		c.score = f.score(c, read)
 		if best < 0 || c.score < candidates[best].score {
 			best = i
 		}
 	}
-	return candidates[best]
+	if best < 0 {
+		return nil
+	}
+	return candidates[best : best+1]
 }
 
-// Lengths of the parts of long prompts.
+// Bounds of the division of long prompts.
 const (
-	longPart    = 350 * time.Millisecond // part that one engine reads, where enough engines are free
-	longestPart = 900 * time.Millisecond // a longer part would exceed the pause that callers of long prompts accept
-	// aimShare is the part of the aim within which a long prompt has to begin by the prediction. The rest covers what the
-	// prediction leaves out.
-	aimShare = 0.75
+	longPart = 300 * time.Millisecond // part that one engine reads, where enough engines are free
+	// longestPart bounds a part where few engines are free. Short prompts that find no other engine wait for it to end.
+	longestPart = 600 * time.Millisecond
+	// idleBusy is how long an engine may still be reading to count as free. Engines read parts that they help with ahead of
+	// their own prompts, so a prompt that is sent to a busy engine can wait for long.
+	idleBusy = 40 * time.Millisecond
+	// hurryShare is the part of the time to its latest start that a prompt waits for engines without short streams. After
+	// it, small parts are read between the events of such streams.
+	hurryShare = 0.4
+	// forceShare is the part of its time limit after which a late prompt may disturb streams, up to mostDisturbed.
+	forceShare    = 0.35
+	mostDisturbed = 16
+	// forcedPart is read by one engine then: fewer engines disturb fewer streams.
+	forcedPart = 1500 * time.Millisecond
+	// giveUpShare is the part of its time limit that a late prompt waits.
+	giveUpShare = 0.6
+	// calmCapacity and strictCapacity are the parts of an engine's time that long prompts can use where no stream accepts
+	// only short pauses, and where some do.
+	calmCapacity   = 0.8
+	strictCapacity = 0.25
+	// returnShare is the part of the remaining time after which a refused prompt should come back. Callers wait no longer
+	// than a third of it.
+	returnShare = 0.33
 )
 
-// divide returns the engines that read a long prompt, each an even part, or nothing where the prompt should wait.
-func (f *Fleet) divide(candidates []candidate, read time.Duration, prompt Prompt) []candidate {
+// divide returns the engines that read a long prompt, each an even part, or nothing where the prompt should wait: for its
+// turn, for free engines, or for engines whose streams it does not disturb.
+func (f *Fleet) divide(now time.Time, candidates []candidate, need int, s *Service, prompt Prompt) ([]candidate, *customer.Refusal) {
+	read := s.Engine.ReadTime(prompt.Tokens)
 	most := min(maxHelpers+1, len(candidates))
-	var best []candidate
-	var bestFinish time.Duration
-	for n := 1; n <= most; n++ {
+	wait := f.waitLocked(now, s.Name, prompt)
+	if prompt.Waiter != nil {
+		wait = prompt.Waiter.Wait
+	}
+	if prompt.Waiter == nil && !prompt.Returned && f.hopeless(now, &wait, candidates, s.Engine) {
+		return nil, refuseLate(prompt)
+	}
+	if now.After(wait.StartBy) {
+		return f.late(now, &wait, candidates, read, need, most, prompt)
+	}
+	if f.precededLocked(&wait, now) {
+		return nil, errWait
+	}
+	least := min(int((read+longPart-1)/longPart), most)
+	for n := least; n >= 1; n-- {
 		part := read / time.Duration(n)
 		if part > longestPart && n < most {
-			continue
+			break
 		}
-		free := f.harmless(candidates, part)
-		if len(free) < n || !hasRoom(free[:n]) {
+		free := f.free(candidates, part)
+		if len(free) < n || !fits(free[:n], need) {
 			continue
 		}
-		finish := free[n-1].finish(part)
-		if best == nil || finish < bestFinish {
-			best, bestFinish = free[:n], finish
-		}
-		if part <= longPart {
+		// Fewer engines read longer parts, and a prompt that they would make late does better to wait for more.
+		if prompt.Waited+free[n-1].finish(part) > prompt.Aim {
 			break
 		}
+		return free[:n], nil
 	}
-	if best != nil && prompt.Waited+bestFinish <= prompt.Aim {
-		return best
+	slack := wait.StartBy.Sub(now) + prompt.Waited
+	if prompt.Waited < time.Duration(hurryShare*float64(slack)) {
+		return nil, errWait
 	}
-	// Free engines would read the prompt in parts of the usual length.
-	if prompt.Waited+2*longPart < time.Duration(aimShare*float64(prompt.Aim)) {
-		return nil
+	for n := least + 1; n <= most; n++ {
+		part := read / time.Duration(n)
+		if free := f.free(candidates, part); len(free) >= n && fits(free[:n], need) {
+			return free[:n], nil
+		}
 	}
-	if best != nil {
-		return best
+	return nil, errWait
+}
+
+// errWait is the refusal of a prompt that may find engines later.
+var errWait = customer.Refuse(customer.ReasonQueueFull, "the engines are reading other prompts", customer.RetryAfter(retryFull))
+
+// late returns engines for a prompt that cannot be in time any more. It lets those go first that can, takes engines whose
+// streams it does not disturb, and after a while some where it disturbs a few.
+func (f *Fleet) late(now time.Time, wait *Wait, candidates []candidate, read time.Duration, need, most int, prompt Prompt) ([]candidate, *customer.Refusal) {
+	forced := prompt.Waited >= time.Duration(forceShare*float64(prompt.Limit))
+	if forced || !f.precededLocked(wait, now) {
+		if chosen := f.calm(candidates, read, need, most); chosen != nil {
+			return chosen, nil
+		}
+	}
+	if !forced {
+		return nil, errWait
 	}
-	return f.leastHarm(candidates, read, most)
+	if chosen := f.leastHarm(candidates, read, need, most); disturbed(chosen, read) <= mostDisturbed {
+		return chosen, nil
+	}
+	if prompt.Waited >= time.Duration(giveUpShare*float64(prompt.Limit)) {
+		return nil, refuseLate(prompt)
+	}
+	return nil, errWait
+}
+
+func refuseLate(prompt Prompt) *customer.Refusal {
+	left := prompt.Limit - prompt.Waited
+	return customer.Refuse(customer.ReasonDeadline, "the engines cannot read the prompt in time",
+		customer.RetryAfter(time.Duration(returnShare*float64(left))))
 }
 
-// harmless returns the engines that a read of that length does not disturb, those that end it first at the beginning.
-func (f *Fleet) harmless(candidates []candidate, part time.Duration) []candidate {
+// hopeless says whether a prompt that has just arrived cannot start in time: what goes before it and what is being read
+// takes too long on the engines that long prompts may use.
+func (f *Fleet) hopeless(now time.Time, wait *Wait, candidates []candidate, e *Engine) bool {
+	small := f.passBudget(e)
+	work, capacity, largest := wait.Read, 0.0, time.Duration(0)
+	for i := range candidates {
+		c := &candidates[i]
+		work += c.load.busy
+		if c.harmless(longPart) {
+			capacity += calmCapacity
+			largest += longestPart
+		} else {
+			capacity += strictCapacity
+			largest += small
+		}
+	}
+	if wait.Read > largest {
+		return true
+	}
+	ahead := func(o *Wait) {
+		if o.Service == wait.Service && o.ID != wait.ID && o.before(wait, now) {
+			work += o.Read
+		}
+	}
+	for o := range f.waiters {
+		ahead(&o.Wait)
+	}
+	for _, p := range f.peerWaits {
+		for i := range p.waits {
+			ahead(&p.waits[i])
+		}
+	}
+	return now.Add(time.Duration(float64(work) / capacity)).After(wait.StartBy.Add(wait.Read / maxHelpers))
+}
+
+// disturbed counts the streams that pause for too long where the engines read a prompt.
+func disturbed(chosen []candidate, read time.Duration) int {
+	n := 0
+	for i := range chosen {
+		if c := &chosen[i]; !c.harmless(read / time.Duration(len(chosen))) {
+			n += c.load.strict
+		}
+	}
+	return n
+}
+
+// free returns the engines that read nothing and that a read of that length does not disturb, the idlest ones first.
+func (f *Fleet) free(candidates []candidate, part time.Duration) []candidate {
 	var free []candidate
 	for _, c := range candidates {
-		if c.m.health.failures < failureWeight && c.harmless(part) {
-			c.score = c.load.busy + time.Duration(f.random()*float64(jitter))
+		if c.load.busy <= idleBusy && c.m.health.failures < failureWeight && c.harmless(part) {
+			c.score = c.load.busy + time.Duration(c.load.running)*time.Millisecond + time.Duration(f.random()*float64(jitter))
 			free = append(free, c)
 		}
 	}
@@ -302,24 +455,47 @@
 	return free
 }
 
-func hasRoom(candidates []candidate) bool {
-	return slices.ContainsFunc(candidates, func(c candidate) bool { return c.room })
+// calm returns engines that a late prompt does not disturb, whatever they read, as few as it needs.
+func (f *Fleet) calm(candidates []candidate, read time.Duration, need, most int) []candidate {
+	for n := min(int((read+longestPart-1)/longestPart), most); n >= 1; n-- {
+		part := read / time.Duration(n)
+		var calm []candidate
+		for _, c := range candidates {
+			if c.harmless(part) {
+				c.score = c.load.busy + time.Duration(c.m.health.failures*float64(failurePenalty))
+				calm = append(calm, c)
+			}
+		}
+		if len(calm) < n {
+			continue
+		}
+		slices.SortFunc(calm, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+		if fits(calm[:n], need) {
+			return calm[:n]
+		}
+	}
+	return nil
 }
 
 // leastHarm returns engines for a prompt that cannot wait any longer.
-func (f *Fleet) leastHarm(candidates []candidate, read time.Duration, most int) []candidate {
-	n := min(int((read+longPart-1)/longPart), most)
+func (f *Fleet) leastHarm(candidates []candidate, read time.Duration, need, most int) []candidate {
+	n := min(int((read+forcedPart-1)/forcedPart), most)
 	part := read / time.Duration(n)
 	for i := range candidates {
 		candidates[i].score = f.score(&candidates[i], part)
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
-	// The first engines may lack room for the request itself; one that has it takes the last part.
-	if chosen := candidates[:n]; !hasRoom(chosen) {
-		i := slices.IndexFunc(candidates, func(c candidate) bool { return c.room })
-		chosen[n-1] = candidates[i]
+	for ; n <= most; n++ {
+		if fits(candidates[:n], need) {
+			return candidates[:n]
+		}
+	}
+	// The best engines lack room, but all together have it: the ones with the most memory are taken.
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.free, a.free) })
+	if fits(candidates[:most], need) {
+		return candidates[:most]
 	}
-	return candidates[:n]
+	return nil
 }
 
 func (f *Fleet) placeLocked(service string, first *member, s *Service, now time.Time) *Placement {
@@ -351,13 +527,19 @@
 func (p *Placement) Begun() {
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
-	for _, m := range p.helpers {
-		delete(m.own, p.number)
-		p.f.touchLocked(m)
+	w := p.first.own[p.number]
+	if w == nil || w.Read == 0 {
+		return
 	}
-	if w := p.first.own[p.number]; w != nil && w.Read > 0 {
-		w.Read = 0
-		p.f.touchLocked(p.first)
+	w.Read = 0
+	p.f.touchLocked(p.first)
+	for i, m := range p.helpers {
+		if p.stored[i] > 0 {
+			m.own[p.number].Read = 0 // its memory is used until the end
+		} else {
+			delete(m.own, p.number)
+		}
+		p.f.touchLocked(m)
 	}
 	p.f.wakeLocked()
 }
--- /dev/null
+++ b/endpoint/wait.go
@@ -0,0 +1,124 @@
+package endpoint
+
+import (
+	"cmp"
+	"time"
+)
+
+// Wait is a long prompt that waits for free engines.
+type Wait struct {
+	Service Key           // hash of the service's name
+	Read    time.Duration // time that one engine needs to read it
+	StartBy time.Time     // when it has to start to be in time
+	ID      uint64        // distinguishes prompts that are equal otherwise
+}
+
+// Waiter is a prompt of this VM that waits until Leave.
+type Waiter struct {
+	f *Fleet
+	Wait
+}
+
+// before says whether w goes before o: prompts that can still be in time go first, and among them the shorter ones, because
+// each of them holds the engines up for less time. All VMs order what they know in the same way.
+func (w *Wait) before(o *Wait, now time.Time) bool {
+	late, otherLate := now.After(w.StartBy), now.After(o.StartBy)
+	if late != otherLate {
+		return otherLate
+	}
+	if c := cmp.Compare(w.Read, o.Read); c != 0 {
+		return c < 0
+	}
+	return w.ID < o.ID
+}
+
+// peerWaits is what a peer reported.
+type peerWaits struct {
+	waits []Wait
+	at    time.Time
+}
+
+// NewWaiter enters a prompt into the order of those that wait.
+func (f *Fleet) NewWaiter(now time.Time, service string, p Prompt) *Waiter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &Waiter{f: f, Wait: f.waitLocked(now, service, p)}
+	f.waiters[w] = true
+	f.waitsChanged = true
+	f.signalLocked()
+	return w
+}
+
+// waitLocked describes the prompt to others.
+func (f *Fleet) waitLocked(now time.Time, service string, p Prompt) Wait {
+	w := Wait{Service: KeyOf(service), ID: uint64(f.random() * (1 << 62))}
+	if s := f.services[service]; s != nil && s.Engine != nil {
+		w.Read = s.Engine.ReadTime(p.Tokens)
+	}
+	engines := min(maxHelpers+1, max(len(f.pools[service]), 1))
+	w.StartBy = now.Add(p.Aim - p.Waited - w.Read/time.Duration(engines) - startReserve)
+	return w
+}
+
+// startReserve is the time from the start of a long prompt to its first event beyond the reading itself: two passes and the
+// ways between.
+const startReserve = 150 * time.Millisecond
+
+// Leave takes the prompt out of the order.
+func (w *Waiter) Leave() {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	if !w.f.waiters[w] {
+		return
+	}
+	delete(w.f.waiters, w)
+	w.f.waitsChanged = true
+	w.f.signalLocked()
+	w.f.wakeLocked()
+}
+
+// TakeWaits returns the prompts of this VM that wait, and whether that changed since the last call.
+func (f *Fleet) TakeWaits() ([]Wait, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	waits := make([]Wait, 0, len(f.waiters))
+	for w := range f.waiters {
+		waits = append(waits, w.Wait)
+	}
+	changed := f.waitsChanged
+	f.waitsChanged = false
+	return waits, changed
+}
+
+// MergeWaits takes over the prompts that wait at a peer.
+func (f *Fleet) MergeWaits(now time.Time, vm string, waits []Wait) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(waits) == 0 {
+		delete(f.peerWaits, vm)
+	} else {
+		f.peerWaits[vm] = peerWaits{waits: waits, at: now}
+	}
+	f.wakeLocked()
+}
+
+// precededLocked says whether another prompt that waits goes before w.
+func (f *Fleet) precededLocked(w *Wait, now time.Time) bool {
+	for o := range f.waiters {
+		if o.Service == w.Service && o.ID != w.ID && o.before(w, now) {
+			return true
+		}
+	}
+	for vm, p := range f.peerWaits {
+		if now.Sub(p.at) > peerLoadLife {
+			delete(f.peerWaits, vm)
+			continue
+		}
+		for i := range p.waits {
+			if o := &p.waits[i]; o.Service == w.Service && o.before(w, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,12 +27,15 @@
 func (e *sendError) Error() string { return e.err.Error() }
 
 // send performs one attempt and returns the head of the answer with its body open. The end of ctx closes the connection.
-func (q *request) send(ctx context.Context, p *endpoint.Placement, lastEvent string) (Head, *http.Response, *sendError) {
+func (q *request) send(ctx context.Context, p *endpoint.Placement, lastEvent string, held *reservation) (Head, *http.Response, *sendError) {
 	now := time.Now()
 	attempt := Attempt{
 		Endpoint: p.First(), Customer: q.customerName(), Remaining: q.remaining(now), LastEvent: lastEvent, Helpers: p.Helpers(),
 		Priority: -1,
 	}
+	if held != nil {
+		attempt.Ticket = held.id
+	}
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }, GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
 	header := q.call.Header.Clone()
@@ -113,7 +116,7 @@
 		changed := q.h.fleet.Changed()
 		now := time.Now()
 		p, refusal := pick(now)
-		if refusal == nil || refusal.Reason() == customer.ReasonMemory {
+		if refusal == nil || refusal.Reason() == customer.ReasonMemory || refusal.Reason() == customer.ReasonDeadline {
 			return p, refusal
 		}
 		left := limit - now.Sub(q.call.Arrived)
--- a/forward/call.go
+++ b/forward/call.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"goldcrestpath/endpoint"
 )
 
@@ -31,7 +34,8 @@
 	Remaining time.Duration
 	LastEvent string // ID of the event after which the stream goes on, "" from its beginning
 	Helpers   []endpoint.Target
-	Priority  int // 0 is the most urgent, unset where below 0
+	Ticket    string // reservation at the helpers that store a part of the prompt
+	Priority  int    // 0 is the most urgent, unset where below 0
 }
 
 // Head is the head of an answer to an attempt.
@@ -56,6 +60,18 @@
 	EncodeRefusal(header http.Header, c *Call)
 }
 
+// Reserver orders engines to set memory aside.
+type Reserver interface {
+	// Reserve sets tokens of memory aside at an engine under an ID, or renews that, until hold after its arrival. The
+	// error is ErrNoMemory where the engine has too little.
+	Reserve(ctx context.Context, at endpoint.Target, id string, hold time.Duration) error
+	// Release ends a reservation.
+	Release(ctx context.Context, at endpoint.Target, id string) error
+}
+
+// ErrNoMemory means that an engine cannot set the memory aside now.
+var ErrNoMemory = errors.New("the engine has too little free memory")
+
 // BadCall is a request that cannot be read.
 type BadCall struct {
 	Status  int // HTTP status
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -67,7 +67,7 @@
 	attemptCtx, cancel := q.attemptContext(ctx)
 	defer cancel()
 	sent := time.Now()
-	head, resp, sendErr := q.send(attemptCtx, p, "")
+	head, resp, sendErr := q.send(attemptCtx, p, "", nil)
 	var body []byte
 	if sendErr == nil {
 		var err error
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -37,6 +37,8 @@
 	codec    Codec
 	fleet    *endpoint.Fleet
 	budget   *endpoint.RetryBudget
+	reserver Reserver
+	hold     time.Duration // of reservations
 	table    atomic.Pointer[operator.Table]
 	logger   log.Interface
 	kept     *http.Transport // connections that are used again
@@ -57,6 +59,12 @@
 	return func(h *Handler) { h.register(r) }
 }
 
+// WithReserver sets who orders engines to set memory aside, and for how long at a time. Without it, prompts that need the
+// memory of several engines are refused.
+func WithReserver(r Reserver, hold time.Duration) Option {
+	return func(h *Handler) { h.reserver, h.hold = r, hold }
+}
+
 // NewHandler returns a handler that refuses everything until SetTable is called.
 func NewHandler(codec Codec, fleet *endpoint.Fleet, budget *endpoint.RetryBudget, logger log.Interface, opts ...Option) *Handler {
 	h := &Handler{codec: codec, fleet: fleet, budget: budget, logger: logger, random: rand.Float64}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -35,13 +35,26 @@
 	var failure *customer.Refusal
 	var answer *Head
 	var answerBody []byte
+	unreserved := 0
 	for {
-		p, refusal := q.place(ctx, q.waitLimit(), q.pick)
+		p, refusal := q.placeStream(ctx)
 		if refusal != nil {
 			failure = refusal
 			break
 		}
-		head, body, err := q.run(ctx, p, d)
+		held, reserveErr := q.reserve(ctx, p)
+		if reserveErr != nil {
+			p.End(time.Now(), endpoint.Withdraw)
+			failure = customer.Refuse(customer.ReasonMemory, "memory not reserved: "+reserveErr.Error(), customer.RetryAfter(retryRefused))
+			if unreserved++; unreserved < maxReservations && q.sleep(ctx, retryRefused) {
+				continue
+			}
+			break
+		}
+		head, body, err := q.run(ctx, p, d, held)
+		if held != nil {
+			held.release()
+		}
 		if err == nil && body == nil {
 			q.h.answered.UpdateSince(q.call.Arrived)
 			q.log().WithFields(log.Fields{
@@ -76,20 +89,68 @@
 	q.fail(ctx, failure)
 }
 
-// waitLimit is how long after its arrival a prompt waits for room.
+// maxReservations bounds the tries to set memory aside for one request.
+const maxReservations = 4
+
+// sleep waits and reports whether the request still runs.
+func (q *request) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// waitLimit is how long after its arrival a prompt waits for room. A stream that broke off waits as long again.
 func (q *request) waitLimit() time.Duration {
-	return time.Duration(waitAims * float64(q.route.Aim))
+	wait := max(time.Duration(waitAims*float64(q.route.Aim)), q.limit()/2)
+	if q.sends > 0 {
+		wait += time.Since(q.call.Arrived)
+	}
+	return wait
 }
 
-func (q *request) pick(now time.Time) (*endpoint.Placement, *customer.Refusal) {
+// returnedShare is the part of its route's timeout that a caller has left at most where it has been refused before.
+const returnedShare = 0.85
+
+// returned says whether the caller seems to have come back after a refusal.
+func (q *request) returned() bool {
+	return q.call.Patience > 0 && float64(q.call.Patience) < returnedShare*float64(q.route.Timeout)
+}
+
+// limit returns the time from the arrival to the deadline, 0 where there is none.
+func (q *request) limit() time.Duration {
+	if q.deadline.IsZero() {
+		return 0
+	}
+	return q.deadline.Sub(q.call.Arrived)
+}
+
+// placeStream selects endpoints for a stream. A prompt that waits for engines takes its place in the order of all VMs.
+func (q *request) placeStream(ctx context.Context) (*endpoint.Placement, *customer.Refusal) {
 	s := q.table.Services()[q.service]
 	if s == nil || s.Engine == nil {
-		return q.h.fleet.PlaceCall(now, q.service, q.tried)
+		return q.place(ctx, q.waitLimit(), func(now time.Time) (*endpoint.Placement, *customer.Refusal) {
+			return q.h.fleet.PlaceCall(now, q.service, q.tried)
+		})
+	}
+	var waiter *endpoint.Waiter
+	p, refusal := q.place(ctx, q.waitLimit(), func(now time.Time) (*endpoint.Placement, *customer.Refusal) {
+		prompt := endpoint.Prompt{
+			Tokens: q.call.PromptTokens, Output: q.call.OutputTokens, Aim: q.route.Aim, Waited: now.Sub(q.call.Arrived),
+			Pause: q.route.Pause, Limit: q.limit(), Returned: q.returned(), Waiter: waiter,
+		}
+		p, refusal := q.h.fleet.PlaceGeneration(now, q.service, prompt, q.tried)
+		if refusal != nil && refusal.Reason() == customer.ReasonQueueFull && waiter == nil {
+			waiter = q.h.fleet.NewWaiter(now, q.service, prompt)
+		}
+		return p, refusal
+	})
+	if waiter != nil {
+		waiter.Leave()
 	}
-	return q.h.fleet.PlaceGeneration(now, q.service, endpoint.Prompt{
-		Tokens: q.call.PromptTokens, Output: q.call.OutputTokens, Aim: q.route.Aim, Waited: now.Sub(q.call.Arrived),
-		Pause: q.route.Pause,
-	}, q.tried)
+	return p, refusal
 }
 
 // delivery is the part of a stream that the caller has.
@@ -105,7 +166,7 @@
 
 // run performs one attempt of a stream. It returns a nil body where the stream ended whole, and a body where the endpoint
 // answered with something else than a stream.
-func (q *request) run(ctx context.Context, p *endpoint.Placement, d *delivery) (head Head, body []byte, failure *customer.Refusal) {
+func (q *request) run(ctx context.Context, p *endpoint.Placement, d *delivery, held *reservation) (head Head, body []byte, failure *customer.Refusal) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	sent := time.Now()
@@ -128,7 +189,7 @@
 	if d.begun {
 		last = d.last
 	}
-	head, resp, sendErr := q.send(ctx, p, last)
+	head, resp, sendErr := q.send(ctx, p, last, held)
 	if sendErr == nil {
 		defer resp.Body.Close()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,10 @@
 	exitReserve = 400 * time.Millisecond
 )
 
+// holdShare is the part of the time within which reserved memory has to be free after its last use that one reservation
+// lasts, so that it ends in time where nobody releases it.
+const holdShare = 0.85
+
 // memoryShare is the part of the process's memory limit at which the garbage collector works harder.
 const memoryShare = 0.7
 
@@ -82,7 +86,8 @@
 	g.logger = &log.Logger{Handler: json.New(g.output), Level: log.InfoLevel}
 	g.fleet = endpoint.NewFleet(endpoint.WithColdBound(s.ColdFactor(), s.ColdExtra()))
 	g.budget = endpoint.NewRetryBudget(s.RetryRatio(), s.RetryExtra(), s.RetryWindow())
-	g.handler = forward.NewHandler(platform.Codec{}, g.fleet, g.budget, g.logger, forward.WithRegistry(g.registry))
+	g.handler = forward.NewHandler(platform.Codec{}, g.fleet, g.budget, g.logger, forward.WithRegistry(g.registry),
+		forward.WithReserver(platform.NewOrders(), time.Duration(holdShare*float64(s.ReservationFree()))))
 	self := net.JoinHostPort(s.PeerAddress(), strconv.Itoa(s.PeerPort()))
 	g.feed = newFeed(ctx, self, platform.NewStore(s.Store()), peer.NewFetcher(), g.logger)
 	g.feed.apply, g.feed.matters = g.apply, g.matters
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -210,11 +210,20 @@
 		case <-x.fleet.Dirty():
 		}
 		time.Sleep(gatherFor)
-		if loads := x.fleet.TakeLoads(); len(loads) > 0 {
-			x.mu.Lock()
-			x.sendLoadsLocked(loads, x.now(), x.heardLocked())
-			x.mu.Unlock()
-		}
+		x.flush(x.now())
+	}
+}
+
+// flush sends what changed.
+func (x *Exchange) flush(now time.Time) {
+	waits, changed := x.fleet.TakeWaits()
+	loads := x.fleet.TakeLoads()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	to := x.heardLocked()
+	x.sendLoadsLocked(loads, now, to)
+	if changed {
+		x.sendLocked(message{Waits: encodeWaits(waits, now)}, to)
 	}
 }
 
@@ -234,6 +243,7 @@
 func (x *Exchange) beat(now time.Time) {
 	changed := x.fleet.TakeLoads()
 	loads := x.fleet.Loads()
+	waits, _ := x.fleet.TakeWaits()
 	for _, l := range changed {
 		if len(l.Works) == 0 {
 			loads = append(loads, l)
@@ -259,7 +269,7 @@
 			to = append(to, p)
 		}
 	}
-	x.sendLocked(message{Beat: true, Peers: alive}, to)
+	x.sendLocked(message{Beat: true, Peers: alive, Waits: encodeWaits(waits, now)}, to)
 	x.sendLoadsLocked(loads, now, to)
 }
 
@@ -323,6 +333,9 @@
 	if len(m.Loads) > 0 && !stale {
 		x.fleet.MergeLoads(now, m.From, decodeLoads(m.Loads, now))
 	}
+	if m.Waits != nil && !stale {
+		x.fleet.MergeWaits(now, m.From, decodeWaits(*m.Waits, now))
+	}
 	for _, f := range m.Feeds {
 		if x.receiver.Feed(f.Topic, f.From, f.Upto, time.Duration(f.Age)*time.Millisecond, decodeRecords(f.Records)) {
 			x.receiver.Behind(f.Topic, m.From)
--- a/peer/message.go
+++ b/peer/message.go
@@ -18,6 +18,7 @@
 	Feeds []feed   `cbor:"5,keyasint,omitempty"` // new records
 	Peers []string `cbor:"6,keyasint,omitempty"` // VMs that the sender hears, in heartbeats
 	Beat  bool     `cbor:"7,keyasint,omitempty"`
+	Waits *[]wait  `cbor:"9,keyasint,omitempty"` // all prompts that wait at the sender, nil where that is not told
 	Bye   bool     `cbor:"8,keyasint,omitempty"` // the sender stops
 }
 
@@ -36,6 +37,33 @@
 	Pause   int64 // milliseconds
 }
 
+type wait struct {
+	_       struct{} `cbor:",toarray"`
+	Service uint64
+	Read    int64 // microseconds
+	StartIn int64 // microseconds until it has to start
+	ID      uint64
+}
+
+func encodeWaits(waits []endpoint.Wait, now time.Time) *[]wait {
+	out := make([]wait, len(waits))
+	for i, w := range waits {
+		out[i] = wait{Service: uint64(w.Service), Read: w.Read.Microseconds(), StartIn: w.StartBy.Sub(now).Microseconds(), ID: w.ID}
+	}
+	return &out
+}
+
+func decodeWaits(waits []wait, now time.Time) []endpoint.Wait {
+	out := make([]endpoint.Wait, len(waits))
+	for i, w := range waits {
+		out[i] = endpoint.Wait{
+			Service: endpoint.Key(w.Service), Read: time.Duration(w.Read) * time.Microsecond,
+			StartBy: now.Add(time.Duration(w.StartIn) * time.Microsecond), ID: w.ID,
+		}
+	}
+	return out
+}
+
 // feed holds the records of a topic from one offset up to another that changed something, and how long ago the store
 // confirmed that nothing follows.
 type feed struct {
