endpoint: Order long prompts over all VMs and refuse hopeless ones at their arrival

Cause: in bursts of long prompts the engines' own reads waited behind parts that they helped with; prompts sent to busy engines got their first event after 4 to 6 s where 0.5 s was predicted. In bursts of short prompts one prompt of 574,614 tokens paused every engine for 2 s. Change: a long prompt is sent only to engines that read nothing. Those that wait are known to all VMs, shorter ones first. What cannot start in time is refused at its arrival with a time to come back; what comes back is read where it disturbs few. Prompts above one engine's memory reserve the rest on other engines, all or nothing.

--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -308,8 +308,11 @@
 	mostDisturbed = 16
 	// forcedPart is read by one engine then: fewer engines disturb fewer streams.
 	forcedPart = 1500 * time.Millisecond
-	// giveUpShare is the part of its time limit that a late prompt waits.
-	giveUpShare = 0.6
+	// idleQueue is the predicted wait up to which the engines count as idle. Only then are they read on for longer parts, and
+	// prompts taken that are late in any case because their callers come back after a refusal.
+	idleQueue = 200 * time.Millisecond
+	// lastShare is the part of its time limit that a late prompt waits.
+	lastShare = 0.5
 	// calmCapacity and strictCapacity are the parts of an engine's time that long prompts can use where no stream accepts
 	// only short pauses, and where some do.
 	calmCapacity   = 0.8
@@ -328,7 +331,7 @@
 	if prompt.Waiter != nil {
 		wait = prompt.Waiter.Wait
 	}
-	if prompt.Waiter == nil && !prompt.Returned && f.hopeless(now, &wait, candidates, s.Engine) {
+	if prompt.Waiter == nil && f.hopeless(now, &wait, candidates, s.Engine, prompt) {
 		return nil, refuseLate(prompt)
 	}
 	if now.After(wait.StartBy) {
@@ -338,9 +341,13 @@
 		return nil, errWait
 	}
 	least := min(int((read+longPart-1)/longPart), most)
+	longest := longestPart
+	if len(f.waiters) == 0 && len(f.peerWaits) == 0 {
+		longest = forcedPart
+	}
 	for n := least; n >= 1; n-- {
 		part := read / time.Duration(n)
-		if part > longestPart && n < most {
+		if part > longest && n < most {
 			break
 		}
 		free := f.free(candidates, part)
@@ -381,12 +388,10 @@
 	if !forced {
 		return nil, errWait
 	}
-	if chosen := f.leastHarm(candidates, read, need, most); disturbed(chosen, read) <= mostDisturbed {
+	chosen := f.leastHarm(candidates, read, need, most)
+	if disturbed(chosen, read) <= mostDisturbed || prompt.Waited >= time.Duration(lastShare*float64(prompt.Limit)) {
 		return chosen, nil
 	}
-	if prompt.Waited >= time.Duration(giveUpShare*float64(prompt.Limit)) {
-		return nil, refuseLate(prompt)
-	}
 	return nil, errWait
 }
 
@@ -396,25 +401,27 @@
 		customer.RetryAfter(time.Duration(returnShare*float64(left))))
 }
 
-// hopeless says whether a prompt that has just arrived cannot start in time: what goes before it and what is being read
-// takes too long on the engines that long prompts may use.
-func (f *Fleet) hopeless(now time.Time, wait *Wait, candidates []candidate, e *Engine) bool {
+// hopeless says whether a prompt that has just arrived cannot start in time, or soon enough where its caller came back: what
+// goes before it and what is being read takes too long on the engines that long prompts may use. Such a prompt is refused at
+// once. All others are served, if late.
+func (f *Fleet) hopeless(now time.Time, wait *Wait, candidates []candidate, e *Engine, prompt Prompt) bool {
 	small := f.passBudget(e)
-	work, capacity, largest := wait.Read, 0.0, time.Duration(0)
+	if prompt.Returned {
+		small = 0 // late in any case, so it takes only engines where it disturbs nobody
+	}
+	work, capacity := time.Duration(0), 0.0
+	calm, strict := 0, 0
 	for i := range candidates {
 		c := &candidates[i]
 		work += c.load.busy
 		if c.harmless(longPart) {
 			capacity += calmCapacity
-			largest += longestPart
+			calm++
 		} else {
 			capacity += strictCapacity
-			largest += small
+			strict++
 		}
 	}
-	if wait.Read > largest {
-		return true
-	}
 	ahead := func(o *Wait) {
 		if o.Service == wait.Service && o.ID != wait.ID && o.before(wait, now) {
 			work += o.Read
@@ -428,7 +435,18 @@
 			ahead(&p.waits[i])
 		}
 	}
-	return now.Add(time.Duration(float64(work) / capacity)).After(wait.StartBy.Add(wait.Read / maxHelpers))
+	queue := time.Duration(float64(work) / capacity)
+	calmPart := longestPart
+	if queue <= idleQueue {
+		calmPart = forcedPart
+	}
+	if wait.Read > time.Duration(calm)*calmPart+time.Duration(strict)*small {
+		return true
+	}
+	if prompt.Returned {
+		return queue > idleQueue
+	}
+	return queue > wait.StartBy.Sub(now)
 }
 
 // disturbed counts the streams that pause for too long where the engines read a prompt.
--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -42,7 +42,7 @@
 
 var (
 	shortPrompt = endpoint.Prompt{Tokens: 5_000, Output: 1_600, Aim: 300 * time.Millisecond, Pause: 250 * time.Millisecond}
-	longPrompt  = endpoint.Prompt{Tokens: 150_000, Output: 800, Aim: 3 * time.Second, Pause: time.Second}
+	longPrompt  = endpoint.Prompt{Tokens: 150_000, Output: 800, Aim: 3 * time.Second, Pause: time.Second, Limit: 15 * time.Second}
 )
 
 func place(t *testing.T, f *endpoint.Fleet, now time.Time, p endpoint.Prompt, exclude ...string) *endpoint.Placement {
@@ -123,9 +123,9 @@
 	}
 }
 
-// Pattern: long prompts beyond what is free. Guards against long reads that meet on the same engines while waiting would
-// still be in time, and against waiting beyond that.
-func TestLongPromptWaitsForFreeEngines(t *testing.T) {
+// Pattern: a long prompt while short streams fill the fleet. Guards against holding a request that cannot be in time, and
+// against reading it where it pauses all short streams.
+func TestHopelessPromptIsRefusedAtOnce(t *testing.T) {
 	f := newFleet(4)
 	now := start
 	for range 36 {
@@ -134,12 +134,106 @@
 		p.Begun()
 	}
 	_, refusal := f.PlaceGeneration(now, model, longPrompt, nil)
-	if refusal == nil || refusal.Verdict() != customer.NotRun {
-		t.Fatalf("refusal = %v, want the prompt to wait while every engine writes short answers", refusal)
+	if refusal == nil || refusal.Verdict() != customer.NotRun || refusal.Reason() != customer.ReasonDeadline {
+		t.Fatalf("refusal = %v, want a refusal that the prompt cannot be in time", refusal)
+	}
+	if got, most := refusal.RetryAfter(), longPrompt.Limit/3; got <= 0 || got > most {
+		t.Errorf("Retry-After is %v, want up to %v, for which callers wait", got, most)
+	}
+}
+
+// Pattern: two long prompts at one moment. Guards against reads that meet on the same engines, where the second one waits
+// for an unknown time, and against a longer prompt that goes before a shorter one.
+func TestLongPromptsTakeTurns(t *testing.T) {
+	f := newFleet(8)
+	place(t, f, start, longPrompt)
+	now := start.Add(10 * time.Millisecond)
+	longer := longPrompt
+	longer.Tokens = 160_000
+	second := placeLater(t, f, now, longPrompt)
+	third := placeLater(t, f, now, longer)
+	now = start.Add(600 * time.Millisecond)
+	longer.Waited, longer.Waiter = now.Sub(start), third
+	if _, refusal := f.PlaceGeneration(now, model, longer, nil); refusal == nil {
+		t.Error("the longer prompt goes first")
+	}
+	waited := longPrompt
+	waited.Waited, waited.Waiter = now.Sub(start), second
+	place(t, f, now, waited)
+	second.Leave()
+	now = now.Add(600 * time.Millisecond)
+	longer.Waited = now.Sub(start)
+	place(t, f, now, longer)
+}
+
+// placeLater expects that the prompt waits, and enters it into the order.
+func placeLater(t *testing.T, f *endpoint.Fleet, now time.Time, p endpoint.Prompt) *endpoint.Waiter {
+	t.Helper()
+	_, refusal := f.PlaceGeneration(now, model, p, nil)
+	if refusal == nil || refusal.Reason() != customer.ReasonQueueFull {
+		t.Fatalf("refusal = %v, want the prompt to wait", refusal)
+	}
+	return f.NewWaiter(now, model, p)
+}
+
+// Guards against VMs that each send their own longest waiting prompt first: a peer's shorter one goes before.
+func TestWaitingPromptsOfPeers(t *testing.T) {
+	a, b := newFleet(8), newFleet(8)
+	first := place(t, a, start, longPrompt)
+	b.MergeLoads(start, "vm-a", a.TakeLoads())
+	longer := longPrompt
+	longer.Tokens = 160_000
+	own := placeLater(t, b, start, longer)
+	placeLater(t, a, start, longPrompt)
+	waits, changed := a.TakeWaits()
+	if !changed || len(waits) != 1 {
+		t.Fatalf("TakeWaits = %v, %v", waits, changed)
+	}
+	first.Begun()
+	now := start.Add(600 * time.Millisecond)
+	b.MergeWaits(now, "vm-a", waits)
+	longer.Waited, longer.Waiter = now.Sub(start), own
+	if _, refusal := b.PlaceGeneration(now, model, longer, nil); refusal == nil {
+		t.Error("the longer prompt goes before the peer's")
+	}
+	later := now.Add(1300 * time.Millisecond)
+	longer.Waited = later.Sub(start)
+	place(t, b, later, longer) // the peer is silent, so its prompts no longer count
+}
+
+// Pattern: a prompt beyond one engine's memory. Guards against a request that an engine refuses for want of memory, and
+// against memory that is counted twice.
+func TestMemoryOfSeveralEngines(t *testing.T) {
+	f := newFleet(17)
+	huge := longPrompt
+	huge.Tokens = 400_000
+	p := place(t, f, start, huge)
+	stored, ticketed := 0, true
+	for _, h := range p.Helpers() {
+		if h.Memory > 0 && !ticketed {
+			t.Error("an engine that stores a part stands behind one that stores none")
+		}
+		ticketed = h.Memory > 0
+		stored += h.Memory
+	}
+	if least := huge.Tokens + huge.Output - testEngine().Memory; stored < least {
+		t.Errorf("other engines store %d tokens, at least %d are needed", stored, least)
+	}
+	p.Begun()
+	loads := f.Loads()
+	context := 0
+	for _, l := range loads {
+		for _, w := range l.Works {
+			context += w.Context
+		}
+	}
+	if diff := cmp.Diff(huge.Tokens+huge.Output, context); diff != "" {
+		t.Error(diff)
+	}
+	p.End(start, endpoint.Good)
+	if loads := f.Loads(); len(loads) > 0 {
+		t.Errorf("after the end %v is left", loads)
 	}
-	late := longPrompt
-	late.Waited = 2900 * time.Millisecond
-	place(t, f, now, late)
 }
 
 // Guards against a read that counts against an engine after it must have ended: nobody tells when a helper's part is done.
--- a/endpoint/wait.go
+++ b/endpoint/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"time"
 )
 
@@ -51,7 +52,7 @@
 
 // waitLocked describes the prompt to others.
 func (f *Fleet) waitLocked(now time.Time, service string, p Prompt) Wait {
-	w := Wait{Service: KeyOf(service), ID: uint64(f.random() * (1 << 62))}
+	w := Wait{Service: KeyOf(service), ID: rand.Uint64()}
 	if s := f.services[service]; s != nil && s.Engine != nil {
 		w.Read = s.Engine.ReadTime(p.Tokens)
 	}
