forward: Test whole answers, verdicts, resumed streams, admission, smuggling and tracing

Each test fails where the forwarder delivers a torn or foreign answer, repeats what may have run, or keeps an endpoint working for a caller that left.

--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,489 @@
+package forward_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+
+	"goldcrestpath/endpoint"
+	"goldcrestpath/forward"
+	"goldcrestpath/operator"
+)
+
+// Headers of the test's wire.
+const (
+	headerID      = "X-Id"
+	headerNotRun  = "X-Not-Run"
+	headerGenuine = "X-Genuine"
+	headerLast    = "X-Last"
+	headerCaller  = "X-Customer"
+	headerLeft    = "X-Left"
+)
+
+// codec is a small wire for tests.
+type codec struct{}
+
+func (codec) DecodeCall(r *http.Request) (*forward.Call, error) {
+	c := &forward.Call{ID: r.Header.Get(headerID), Host: r.Host, Path: r.URL.Path, Target: r.RequestURI, Method: r.Method, Header: http.Header{}, Key: r.Header.Get("X-Key")}
+	if v := r.Header.Get(headerLeft); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return nil, &forward.BadCall{Status: http.StatusBadRequest, Message: err.Error()}
+		}
+		c.Patience = d
+	}
+	c.PromptTokens, c.OutputTokens = 1000, 10
+	return c, nil
+}
+
+func (codec) EncodeAttempt(h http.Header, c *forward.Call, a *forward.Attempt) {
+	h.Set(headerID, c.ID)
+	h.Set(headerLast, a.LastEvent)
+	h.Set(headerCaller, a.Customer)
+}
+
+func (codec) DecodeHead(c *forward.Call, resp *http.Response) forward.Head {
+	return forward.Head{
+		Status: resp.StatusCode, Header: resp.Header, NotRun: resp.Header.Get(headerNotRun) != "",
+		Own: resp.Header.Get(headerID) == c.ID, Genuine: resp.Header.Get(headerGenuine) != "",
+	}
+}
+
+func (codec) EncodeRefusal(http.Header, *forward.Call) {}
+
+// site is a gateway's handler before a set of endpoints.
+type site struct {
+	t       *testing.T
+	handler *forward.Handler
+	server  *httptest.Server
+	fleet   *endpoint.Fleet
+	logs    *logBuffer
+}
+
+// logBuffer keeps log lines.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (b *logBuffer) HandleLog(e *log.Entry) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	data, err := json.Marshal(e.Fields)
+	b.lines = append(b.lines, e.Message+" "+string(data))
+	return err
+}
+
+func newSite(t *testing.T, endpoints ...http.HandlerFunc) *site {
+	t.Helper()
+	s := &site{t: t, fleet: endpoint.NewFleet(), logs: &logBuffer{}}
+	budget := endpoint.NewRetryBudget(0.2, 100, 10*time.Second)
+	s.handler = forward.NewHandler(codec{}, s.fleet, budget, &log.Logger{Handler: s.logs, Level: log.InfoLevel})
+	for i, h := range endpoints {
+		e := httptest.NewServer(h)
+		t.Cleanup(e.Close)
+		s.fleet.Put(time.Now(), endpoint.Entry{
+			ID: fmt.Sprint("e", i), Service: "desk", Address: e.Listener.Addr().String(), DataCentre: "dc", Slots: 4,
+		}, 0)
+	}
+	s.setTable(1)
+	s.server = httptest.NewServer(s.handler)
+	t.Cleanup(s.server.Close)
+	t.Cleanup(s.handler.Close)
+	return s
+}
+
+// setTable puts a table in force with a route for each kind of request.
+func (s *site) setTable(version int64, keys ...string) {
+	route := func(name string, kind operator.RouteKind, attempts int) operator.Route {
+		return operator.Route{
+			Name: name, Host: "site.test", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, Aim: 200 * time.Millisecond,
+			Pause: 200 * time.Millisecond, Attempts: attempts, Public: len(keys) == 0, Splits: []operator.Split{{Service: "desk", Weight: 1}},
+		}
+	}
+	table, err := operator.NewTable(operator.RoutingSpec{
+		Version: version,
+		Routes: []operator.Route{
+			route("read", operator.Idempotent, 2), route("book", operator.AtMostOnce, 2), route("stream", operator.ResumableStream, 2),
+			route("once", operator.Stream, 2),
+		},
+		Services:  []endpoint.Service{{Name: "desk"}},
+		Customers: []operator.Customer{{Name: "team", Keys: keys}}, NeedsKey: len(keys) > 0,
+		Limits: operator.CallerLimits{HeaderBytes: 2000, BodyBytes: 5000},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.handler.SetTable(table)
+}
+
+type answer struct {
+	Status int
+	Body   string
+	Retry  bool // has a Retry-After
+}
+
+// do sends a request and reads the answer. The error is that of an answer that broke off.
+func (s *site) do(method, path, body string, header ...string) (answer, error) {
+	s.t.Helper()
+	req, err := http.NewRequest(method, s.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "site.test"
+	req.Header.Set(headerID, "call-1")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{Status: resp.StatusCode, Body: string(data), Retry: resp.Header.Get("Retry-After") != ""}, err
+}
+
+// good answers with the request's body.
+func good(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set(headerID, r.Header.Get(headerID))
+	w.Header().Set(headerGenuine, "1")
+	fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+// hang answers nothing until the gateway closes the connection.
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the server sees the close only after the body
+	<-r.Context().Done()
+}
+
+func refuses(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(headerNotRun, "1")
+	w.Header().Set(headerID, "call-1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// raw answers with bytes of its own and closes the connection.
+func raw(bytes string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, buf, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = buf.WriteString(bytes)
+		_ = buf.Flush()
+		conn.Close()
+	}
+}
+
+const head = "HTTP/1.1 200 OK\r\nX-Id: call-1\r\nX-Genuine: 1\r\n"
+
+// Guards against requests that change on their way.
+func TestForwardsAsReceived(t *testing.T) {
+	s := newSite(t, good)
+	for _, c := range []struct{ method, path, body string }{
+		{"GET", "/read/a", ""},
+		{"GET", "/read/a%2Fb//c?x=1&y=%20", ""},
+		{"POST", "/book/1?", "charge"},
+		{"DELETE", "/read/x?a=b?c", ""},
+	} {
+		got, err := s.do(c.method, c.path, c.body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := answer{Status: 200, Body: fmt.Sprintf("%s %s %s", c.method, c.path, c.body)}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s %s: %s", c.method, c.path, diff)
+		}
+	}
+}
+
+// Guards against a request that may not be repeated and is sent again after it may have run, and against a refusal that
+// promises "not run" then.
+func TestAtMostOnce(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		endpoint http.HandlerFunc
+		want     int // status
+		sends    int32
+	}{
+		{"connection closed", raw(""), 502, 1},
+		{"cut within the header", raw("HTTP/1.1 200 OK\r\nX-I"), 502, 1},
+		{"cut within the body", raw(head + "Content-Length: 10\r\n\r\nabc"), 502, 1},
+		{"cut within a chunk", raw(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nab"), 502, 1},
+		{"another request's answer", raw("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Genuine: 1\r\nContent-Length: 2\r\n\r\nok"), 502, 1},
+		{"not an answer", raw("nonsense\r\n\r\n"), 502, 1},
+		{"not genuine", raw("HTTP/1.1 200 OK\r\nX-Id: call-1\r\nContent-Length: 2\r\n\r\nok"), 502, 1},
+		{"not run", refuses, 503, 2},
+	} {
+		var sends atomic.Int32
+		counted := func(w http.ResponseWriter, r *http.Request) { sends.Add(1); c.endpoint(w, r) }
+		s := newSite(t, counted, counted)
+		got, err := s.do("POST", "/book/1", "charge")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Status != c.want || sends.Load() != c.sends {
+			t.Errorf("%s: status %d after %d sends, want %d after %d", c.name, got.Status, sends.Load(), c.want, c.sends)
+		}
+	}
+}
+
+// Guards against a failure that reaches the caller although the request could be repeated.
+func TestIdempotentIsRepeated(t *testing.T) {
+	for name, bad := range map[string]http.HandlerFunc{
+		"closed": raw(""), "cut": raw(head + "Content-Length: 10\r\n\r\nabc"), "refused": refuses,
+		"failed": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(headerID, "call-1")
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+		"silent": hang,
+	} {
+		var first atomic.Bool
+		once := func(w http.ResponseWriter, r *http.Request) {
+			if first.CompareAndSwap(false, true) {
+				bad(w, r)
+				return
+			}
+			good(w, r)
+		}
+		s := newSite(t, once, once)
+		got, err := s.do("GET", "/read/1", "")
+		if err != nil || got.Status != 200 {
+			t.Errorf("%s: %+v, %v", name, got, err)
+		}
+	}
+}
+
+// Guards against hiding the endpoint's own failure behind one of the gateway.
+func TestEndpointsFailureIsPassedOn(t *testing.T) {
+	fails := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerID, "call-1")
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, "broken")
+	}
+	s := newSite(t, fails)
+	got, err := s.do("POST", "/book/1", "charge")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(answer{Status: 500, Body: "broken"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// events writes a stream from the event after last, up to the last but one event of n, or whole.
+func events(w http.ResponseWriter, r *http.Request, n int, whole bool) {
+	w.Header().Set(headerID, r.Header.Get(headerID))
+	w.Header().Set(headerGenuine, "1")
+	w.Header().Set("Content-Type", "text/event-stream")
+	from := 0
+	if v := r.Header.Get(headerLast); v != "" {
+		fmt.Sscan(v, &from)
+	}
+	for i := from + 1; i <= n; i++ {
+		if i == n && !whole {
+			fmt.Fprintf(w, "id: %d\ndata: ha", i)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		w.(http.Flusher).Flush()
+	}
+}
+
+func wantEvents(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// Guards against a stream with a missing, doubled or torn event after an endpoint broke off.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	var sends atomic.Int32
+	h := func(w http.ResponseWriter, r *http.Request) { events(w, r, 5, sends.Add(1) > 1) }
+	s := newSite(t, h, h)
+	got, err := s.do("POST", "/stream/1", "prompt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(answer{Status: 200, Body: wantEvents(5)}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a broken stream that looks whole, and against a second run of one that may not be resumed.
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	for _, path := range []string{"/once/1", "/stream/1"} {
+		var sends atomic.Int32
+		h := func(w http.ResponseWriter, r *http.Request) { sends.Add(1); events(w, r, 5, false) }
+		s := newSite(t, h, h, h)
+		got, err := s.do("POST", path, "prompt")
+		if err == nil {
+			t.Errorf("%s: %q looks whole", path, got.Body)
+		}
+		if want := int32(2); path == "/once/1" && sends.Load() != 1 || sends.Load() > want {
+			t.Errorf("%s: sent %d times", path, sends.Load())
+		}
+	}
+}
+
+// Guards against an endpoint that goes on working after its caller left.
+func TestCallerLeaves(t *testing.T) {
+	begun, gone := make(chan struct{}), make(chan struct{})
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		hang(w, r)
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", s.server.URL+"/book/1", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "site.test"
+	go func() {
+		if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	<-begun
+	cancel()
+	select {
+	case <-gone:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the endpoint still works on the request 10 s after the caller left")
+	}
+}
+
+// Guards against answers after the caller's or the route's time limit, and against "not run" where the request ran.
+func TestTimeLimit(t *testing.T) {
+	s := newSite(t, hang)
+	got, err := s.do("POST", "/book/1", "x", headerLeft, "300ms")
+	if err != nil || got.Status != http.StatusGatewayTimeout {
+		t.Errorf("%+v, %v, want 504", got, err)
+	}
+	empty := newSite(t)
+	got, err = empty.do("POST", "/book/1", "x", headerLeft, "300ms")
+	if err != nil || got.Status != http.StatusServiceUnavailable || !got.Retry {
+		t.Errorf("without endpoints: %+v, %v, want 503 with Retry-After", got, err)
+	}
+}
+
+// Guards against requests that are let in or refused by anything but the configuration in force.
+func TestAdmission(t *testing.T) {
+	s := newSite(t, good)
+	s.setTable(2, "secret")
+	s.setTable(1) // an older version comes late and must not count
+	for _, c := range []struct {
+		name, path string
+		header     []string
+		body       string
+		want       int
+	}{
+		{"key", "/read/1", []string{"X-Key", "secret"}, "", 200},
+		{"no key", "/read/1", nil, "", 401},
+		{"wrong key", "/read/1", []string{"X-Key", "secre"}, "", 401},
+		{"no route", "/none/1", []string{"X-Key", "secret"}, "", 404},
+		{"prefix without its slash", "/read", []string{"X-Key", "secret"}, "", 404},
+		{"long body", "/book/1", []string{"X-Key", "secret"}, strings.Repeat("x", 6000), 413},
+		{"long header", "/read/1", []string{"X-Key", "secret", "X-Pad", strings.Repeat("x", 3000)}, "", 431},
+		{"bad time limit", "/read/1", []string{"X-Key", "secret", headerLeft, "soon"}, "", 400},
+	} {
+		got, err := s.do("POST", c.path, c.body, c.header...)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if got.Status != c.want {
+			t.Errorf("%s: status %d, want %d", c.name, got.Status, c.want)
+		}
+	}
+	bare := forward.NewHandler(codec{}, endpoint.NewFleet(), endpoint.NewRetryBudget(0, 0, time.Second), &log.Logger{Handler: discard.New()})
+	w := httptest.NewRecorder()
+	bare.ServeHTTP(w, httptest.NewRequest("GET", "/read/1", nil))
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("without a configuration: status %d, want 503", w.Code)
+	}
+}
+
+// Guards against smuggled requests: what follows a body of ambiguous length must not reach an endpoint as a request.
+func TestSmuggledRequests(t *testing.T) {
+	var mu sync.Mutex
+	var seen []string
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		seen = append(seen, r.RequestURI)
+		mu.Unlock()
+		good(w, r)
+	})
+	smuggled := "GET /read/evil HTTP/1.1\r\nHost: site.test\r\nX-Id: call-1\r\n\r\n"
+	for _, headers := range []string{
+		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+		"Content-Length: 0\r\nContent-Length: " + fmt.Sprint(len(smuggled)) + "\r\n",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+		"Transfer-Encoding : chunked\r\n",
+		"Content-Length: +5\r\n",
+	} {
+		conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: site.test\r\nX-Id: call-1\r\n%s\r\n0\r\n\r\n", headers)
+		if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		conn.Close()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for _, uri := range seen {
+		if uri != "/book/1" {
+			t.Errorf("an endpoint got %q, which no caller sent", uri)
+		}
+	}
+}
+
+// Guards against a failed request whose cause cannot be found from its ID: the log lines name the endpoints, the failure and
+// the verdict.
+func TestFailureCanBeTraced(t *testing.T) {
+	s := newSite(t, raw(""))
+	if _, err := s.do("POST", "/book/1", "x"); err != nil {
+		t.Fatal(err)
+	}
+	s.logs.mu.Lock()
+	defer s.logs.mu.Unlock()
+	var mine bytes.Buffer
+	for _, line := range s.logs.lines {
+		if strings.Contains(line, `"request":"call-1"`) {
+			mine.WriteString(line + "\n")
+		}
+	}
+	for _, want := range []string{"forward: sent", `"endpoint":"e0"`, "no whole answer", `"verdict":"mayHaveRun"`, "forward: refused", `"status":502`} {
+		if !strings.Contains(mine.String(), want) {
+			t.Errorf("the lines of the request lack %q:\n%s", want, mine.String())
+		}
+	}
+}
