soak: Run gateways as processes under random faults and check promises from both sides

Faults come from outside: signals, a loopback proxy before endpoints and the store, and the store's own failures. The stand-ins of the platform stand in platform/platformtest.

--- a/cmd/goldlab/main.go
+++ b/cmd/goldlab/main.go
@@ -35,6 +35,6 @@
 			log.SetLevel(level)
 			return ctx, nil
 		},
-		Commands: []*cli.Command{standinsCommand(), loadCommand(), demoCommand(), experimentCommand(), slopesCommand()},
+		Commands: []*cli.Command{standinsCommand(), loadCommand(), demoCommand(), experimentCommand(), slopesCommand(), soakCommand()},
 	}
 }
--- /dev/null
+++ b/cmd/goldlab/soak.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"goldcrestpath/soak"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run gateways under random faults and check what callers and endpoints see; exits 1 where a promise is broken",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Usage: "the goldcrest `BINARY`", Required: true},
+			&cli.StringFlag{Name: "out", Value: "out/soak", Usage: "`DIRECTORY` for logs and timelines, one for each seed"},
+			&cli.Uint64Flag{Name: "seed", Value: uint64(time.Now().UnixNano() % 1e9), Usage: "first `SEED`"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds, counting up"},
+			&cli.DurationFlag{Name: "duration", Value: 12 * time.Second, Usage: "of the faults of each seed"},
+			&cli.IntFlag{Name: "vms", Value: 4},
+			&cli.IntFlag{Name: "endpoints", Value: 6},
+			&cli.IntFlag{Name: "clients", Value: 16},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			failed := 0
+			for i := range cmd.Int("seeds") {
+				cfg := soak.Config{
+					Program: cmd.String("program"), Seed: cmd.Uint64("seed") + uint64(i), Duration: cmd.Duration("duration"),
+					VMs: cmd.Int("vms"), Endpoints: cmd.Int("endpoints"), Clients: cmd.Int("clients"),
+				}
+				cfg.Dir = filepath.Join(cmd.String("out"), fmt.Sprint(cfg.Seed))
+				r, err := soak.Run(cfg)
+				if err != nil {
+					return errors.Wrapf(err, "seed %d", cfg.Seed)
+				}
+				fmt.Fprintf(cmd.Root().Writer, "seed %d: %v\n", cfg.Seed, r)
+				if len(r.Broken) > 0 {
+					failed++
+				}
+			}
+			if failed > 0 {
+				return errors.Errorf("%d seeds broke promises; their logs are in %s", failed, cmd.String("out"))
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,276 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"goldcrestpath/platform/platformtest"
+)
+
+// Topics and keys of the platform that the soak writes.
+const (
+	topicOperator  = "keyed.op"
+	topicEndpoints = "keyed.servers"
+)
+
+const (
+	service   = "desk"
+	host      = "soak.test"
+	stopGrace = 4 * time.Second
+)
+
+// vm is one gateway process. Each has a loopback address of its own, because all VMs use the same ports.
+type vm struct {
+	name, ip string
+	store    *toxiproxy.Proxy
+	settings string
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	done  chan struct{}
+	calm  time.Time // when the last fault on this VM ended
+	boots int
+}
+
+// instance is one endpoint behind its proxy.
+type instance struct {
+	*platformtest.Endpoint
+	proxy    *toxiproxy.Proxy
+	draining time.Time // when the store acknowledged that it drains, zero while it does not
+}
+
+// site is everything that one soak runs.
+type site struct {
+	cfg       Config
+	dir       string
+	store     *platformtest.Store
+	journal   *platformtest.Journal
+	endpoints []*instance
+	vms       []*vm
+	timeline  *timeline
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	version  int
+	routes   int // further routes /rN/
+	keys     []string
+	revoked  map[string]time.Time
+	troubled float64 // part of the requests that endpoints treat badly
+}
+
+// timeline is the record of a run that a person can read.
+type timeline struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func (t *timeline) add(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fmt.Fprintf(t.file, "%8.3f "+format+"\n", append([]any{time.Since(t.start).Seconds()}, args...)...)
+}
+
+func newSite(cfg Config) (*site, error) {
+	logrus.SetLevel(logrus.PanicLevel) // of the proxy library
+	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	file, err := os.Create(filepath.Join(cfg.Dir, "timeline.txt"))
+	if err != nil {
+		return nil, err
+	}
+	s := &site{
+		cfg: cfg, dir: cfg.Dir, store: platformtest.NewStore(), journal: &platformtest.Journal{}, revoked: map[string]time.Time{},
+		random: rand.New(rand.NewPCG(cfg.Seed, 1)), timeline: &timeline{file: file, start: time.Now()}, keys: []string{"key-0", "key-1"},
+	}
+	storeServer, err := serve(s.store)
+	if err != nil {
+		return nil, err
+	}
+	for i := range cfg.Endpoints {
+		e, err := platformtest.NewEndpoint(fmt.Sprint("e", i), service, fmt.Sprint("dc", i%2), "127.0.0.1:0", s.journal, s.behaviour)
+		if err != nil {
+			return nil, err
+		}
+		p, err := newProxy(e.Address)
+		if err != nil {
+			return nil, err
+		}
+		in := &instance{Endpoint: e, proxy: p}
+		s.endpoints = append(s.endpoints, in)
+		s.store.Put(topicEndpoints, in.ID, in.Entry(p.Listen, "ready"))
+	}
+	s.publish()
+	ports := 20000 + int(cfg.Seed%20000)
+	for i := range cfg.VMs {
+		v := &vm{name: fmt.Sprint("vm-", i), ip: fmt.Sprintf("127.0.%d.%d", 1+cfg.Seed%200, i+1)}
+		if v.store, err = newProxy(storeServer); err != nil {
+			return nil, err
+		}
+		v.settings = filepath.Join(s.dir, v.name+".ini")
+		text := fmt.Sprintf("[gateway]\nname = %s\ndataCentre = dc%d\nstore = %s\n[caller]\nlisten = %s:%d\nreadyListen = %s:%d\n[peer]\naddress = %s\nports = %d,%d\n[limits]\nstopGrace = %v\n",
+			v.name, i%2, v.store.Listen, v.ip, ports, v.ip, ports+1, v.ip, ports+2, ports+9, stopGrace)
+		if err := os.WriteFile(v.settings, []byte(text), 0o644); err != nil {
+			return nil, err
+		}
+		s.vms = append(s.vms, v)
+		if err := s.start(v); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *site) callers(v *vm) string { return fmt.Sprintf("%s:%d", v.ip, 20000+int(s.cfg.Seed%20000)) }
+
+func (s *site) ready(v *vm) bool {
+	client := http.Client{Timeout: 500 * time.Millisecond}
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/readiness", v.ip, 20001+int(s.cfg.Seed%20000)))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go http.Serve(l, h) //nolint:errcheck // ends with the process
+	return l.Addr().String(), nil
+}
+
+func newProxy(upstream string) (*toxiproxy.Proxy, error) {
+	p := toxiproxy.NewProxy()
+	p.Listen, p.Upstream = "127.0.0.1:0", upstream
+	return p, p.Start()
+}
+
+// behaviour decides how an endpoint treats its next request.
+func (s *site) behaviour() platformtest.Behaviour {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.random.Float64() >= s.troubled {
+		return platformtest.Answer
+	}
+	return platformtest.Behaviour(1 + s.random.IntN(int(platformtest.Mute)))
+}
+
+// publish writes a new version of the configuration.
+func (s *site) publish() {
+	s.version += 1 + s.random.IntN(5)
+	route := func(name, kind, more string) string {
+		return fmt.Sprintf(`{"name":"%s","host":"%s","pathPrefix":"/%s/","kind":"%s","timeoutMs":3000,"latencyGoalMs":200,"attempts":2,"service":"%s"%s}`,
+			name, host, name, kind, service, more)
+	}
+	routes := route("read", "safe", "") + "," + route("book", "unsafe", "") + "," + route("stream", "streaming", `,"resumable":true,"gapTargetMs":200`)
+	for i := range s.routes {
+		routes += "," + route(fmt.Sprint("r", i), "safe", "")
+	}
+	tenants := ""
+	for i, key := range s.keys {
+		if _, gone := s.revoked[key]; gone {
+			continue
+		}
+		if tenants != "" {
+			tenants += ","
+		}
+		tenants += fmt.Sprintf(`{"name":"team-%d","apiKeys":["%s"]}`, i, key)
+	}
+	s.store.Put(topicOperator, "config", fmt.Appendf(nil,
+		`{"version":%d,"routes":[%s],"services":[{"name":"%s"}],"limits":{"headerBytes":16384,"bodyBytes":65536,"idleTimeoutMs":15000},"tenants":[%s]}`,
+		s.version, routes, service, tenants))
+	s.timeline.add("configuration %d: %d further routes, %d keys revoked", s.version, s.routes, len(s.revoked))
+}
+
+// start starts the VM's process. Its log goes to a file of each boot.
+func (s *site) start(v *vm) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out, err := os.Create(filepath.Join(s.dir, fmt.Sprintf("%s-%d.log", v.name, v.boots)))
+	if err != nil {
+		return err
+	}
+	v.boots++
+	cmd := exec.Command(s.cfg.Program, "serve", "--settings", v.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start "+v.name)
+	}
+	done := make(chan struct{})
+	go func() {
+		err := cmd.Wait()
+		s.timeline.add("%s ended: %v", v.name, err)
+		out.Close()
+		close(done)
+	}()
+	v.cmd, v.done, v.calm = cmd, done, time.Now()
+	s.timeline.add("%s started as process %d", v.name, cmd.Process.Pid)
+	return nil
+}
+
+// signal sends a signal to the VM's process, unless it has ended.
+func (s *site) signal(v *vm, sig syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	select {
+	case <-v.done:
+	default:
+		s.timeline.add("%s gets %v", v.name, sig)
+		if err := v.cmd.Process.Signal(sig); err != nil {
+			s.timeline.add("%s: %v", v.name, err)
+		}
+	}
+}
+
+// restart waits for the end of the process and starts it again.
+func (s *site) restart(v *vm) error {
+	v.mu.Lock()
+	done := v.done
+	v.mu.Unlock()
+	<-done
+	return s.start(v)
+}
+
+// disturbed notes that a fault on the VM ends now.
+func (v *vm) disturbed() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.calm = time.Now()
+}
+
+// boot returns the number of the running boot and how long the VM has been free of faults.
+func (v *vm) boot() (int, time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.boots, time.Since(v.calm)
+}
+
+func (s *site) close() {
+	for _, v := range s.vms {
+		s.signal(v, syscall.SIGKILL)
+		<-v.done
+		v.store.Stop()
+	}
+	for _, e := range s.endpoints {
+		e.Close()
+		e.proxy.Stop()
+	}
+	s.timeline.file.Close()
+}
