--- a/endpoint/fleet.go
+++ b/endpoint/fleet.go
@@ -20,6 +20,7 @@
 	byKey                 map[Key]*member
 	pools                 map[string][]*member // members of each service in the order of their keys, never changed in place
 	drained               map[string]bool      // data centres that operators took out
+	reaches               map[string]*reach    // by data centre
 	changed               map[Key]bool         // endpoints where this VM's load changed since TakeLoads
 	waiters               map[*Waiter]bool     // long prompts of this VM that wait
 	peerWaits             map[string]peerWaits // those of peers
@@ -65,6 +66,7 @@
 		byKey:      map[Key]*member{},
 		pools:      map[string][]*member{},
 		drained:    map[string]bool{},
+		reaches:    map[string]*reach{},
 		changed:    map[Key]bool{},
 		waiters:    map[*Waiter]bool{},
 		peerWaits:  map[string]peerWaits{},
@@ -220,16 +222,25 @@
 	if m.entry.Draining || f.drained[m.entry.DataCentre] || !m.health.usable(now) {
 		return false
 	}
+	if r := f.reaches[m.entry.DataCentre]; r != nil && now.Before(r.until) {
+		return false
+	}
 	if s == nil || s.ColdPerSecond <= 0 || !now.Before(m.coldUntil) {
 		return true
 	}
 	return m.allowance.room(now, coldPart(s.ColdPerSecond*f.coldFactor+f.coldExtra, f.rank, f.n, m.key))
 }
 
-// touchLocked records that this VM's load on the endpoint changed.
-func (f *Fleet) touchLocked(m *member) {
+// manyVMs is the number of VMs above which they tell each other at once only of new work. The end of a read is predicted, and
+// the end of a stream is told with the next heartbeat, which saves two thirds of the messages.
+const manyVMs = 16
+
+// touchLocked records that this VM's load on the endpoint changed. urgent is set for new work.
+func (f *Fleet) touchLocked(m *member, urgent bool) {
 	f.changed[m.key] = true
-	f.signalLocked()
+	if urgent || f.n <= manyVMs {
+		f.signalLocked()
+	}
 }
 
 // signalLocked makes the exchange with peers look for changes.
@@ -243,3 +254,14 @@
 // Dirty returns a channel that receives after this VM's load or its waiting prompts changed. TakeLoads and TakeWaits return
 // the change.
 func (f *Fleet) Dirty() <-chan struct{} { return f.dirty }
+
+// noteLocked records what an attempt showed of an endpoint and of the way to it.
+func (f *Fleet) noteLocked(m *member, now time.Time, o Outcome) {
+	m.health.note(now, o)
+	r := f.reaches[m.entry.DataCentre]
+	if r == nil {
+		r = &reach{}
+		f.reaches[m.entry.DataCentre] = r
+	}
+	r.note(now, o)
+}
--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -17,11 +17,12 @@
 
 // Outcomes of attempts.
 const (
-	Good     Outcome = iota + 1 // a whole answer
-	Errored                     // the endpoint answered that it failed
-	Refused                     // the endpoint refused before running, because it is full or leaving
-	Broken                      // no connection, a cut or foreign answer, or silence
-	Withdraw                    // ended by the caller or this VM, which shows nothing
+	Good        Outcome = iota + 1 // a whole answer
+	Errored                        // the endpoint answered that it failed
+	Refused                        // the endpoint refused before running, because it is full or leaving
+	Unreachable                    // no connection could be opened
+	Broken                         // a cut or foreign answer, or silence
+	Withdraw                       // ended by the caller or this VM, which shows nothing
 )
 
 // health is the evidence of one endpoint.
@@ -45,7 +46,7 @@
 	case Refused:
 		// A full endpoint is not a faulty one. A short pause lets its queue drain.
 		h.until = now.Add(refusedPause)
-	case Broken:
+	case Broken, Unreachable:
 		h.failures += failureWeight * (1 - h.failures)
 		h.until = now.Add(min(firstPause<<min(h.broken, 6), longestPause))
 		h.broken++
@@ -62,3 +63,28 @@
 	}
 	return h.broken == 0 || !h.trial
 }
+
+// reach is the evidence of the way to one data centre.
+type reach struct {
+	failed int // connections that could not be opened since the last answer from there
+	until  time.Time
+}
+
+const (
+	// unreachableAfter is how many failed connections in a row make a data centre count as cut off. A few can be due to
+	// endpoints that crashed.
+	unreachableAfter = 3
+	// unreachablePause is how long a data centre is passed over before its endpoints are tried again.
+	unreachablePause = time.Second
+)
+
+func (r *reach) note(now time.Time, o Outcome) {
+	switch o {
+	case Unreachable:
+		if r.failed++; r.failed >= unreachableAfter {
+			r.until = now.Add(unreachablePause)
+		}
+	case Good, Errored, Refused:
+		*r = reach{}
+	}
+}
--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -165,8 +165,14 @@
 	}
 	read := s.Engine.ReadTime(prompt.Tokens)
 	var chosen []candidate
-	if read <= f.passBudget(s.Engine) {
+	switch budget := f.passBudget(s.Engine); {
+	case read <= budget:
 		chosen = f.firstFit(candidates, read, need, s.Engine)
+	case read <= longPart:
+		// Too long for one pass beside short streams, too short to wait for its turn.
+		if chosen = f.split(candidates, read, need, 2); chosen == nil {
+			chosen = f.firstFit(candidates, read, need, s.Engine)
+		}
 	}
 	if chosen == nil {
 		var refusal *customer.Refusal
@@ -311,6 +317,9 @@
 	// idleQueue is the predicted wait up to which the engines count as idle. Only then are they read on for longer parts, and
 	// prompts taken that are late in any case because their callers come back after a refusal.
 	idleQueue = 200 * time.Millisecond
+	// arrivalShare is the part of its aim (one in so many) in which a prompt counts as arriving and can still be refused at
+	// once.
+	arrivalShare = 8
 	// lastShare is the part of its time limit that a late prompt waits.
 	lastShare = 0.5
 	// calmCapacity and strictCapacity are the parts of an engine's time that long prompts can use where no stream accepts
@@ -331,7 +340,8 @@
 	if prompt.Waiter != nil {
 		wait = prompt.Waiter.Wait
 	}
-	if prompt.Waiter == nil && f.hopeless(now, &wait, candidates, s.Engine, prompt) {
+	arriving := prompt.Waiter == nil && prompt.Waited <= prompt.Aim/arrivalShare
+	if arriving && f.hopeless(now, &wait, candidates, s.Engine, prompt) {
 		return nil, refuseLate(prompt)
 	}
 	if now.After(wait.StartBy) {
@@ -365,14 +375,22 @@
 		return nil, errWait
 	}
 	for n := least + 1; n <= most; n++ {
-		part := read / time.Duration(n)
-		if free := f.free(candidates, part); len(free) >= n && fits(free[:n], need) {
-			return free[:n], nil
+		if chosen := f.split(candidates, read, need, n); chosen != nil {
+			return chosen, nil
 		}
 	}
 	return nil, errWait
 }
 
+// split returns n free engines that read a prompt in even parts without disturbing a stream, or nil.
+func (f *Fleet) split(candidates []candidate, read time.Duration, need, n int) []candidate {
+	free := f.free(candidates, read/time.Duration(n))
+	if len(free) < n || !fits(free[:n], need) {
+		return nil
+	}
+	return free[:n]
+}
+
 // errWait is the refusal of a prompt that may find engines later.
 var errWait = customer.Refuse(customer.ReasonQueueFull, "the engines are reading other prompts", customer.RetryAfter(retryFull))
 
@@ -531,7 +549,7 @@
 
 func (f *Fleet) addLocked(p *Placement, m *member, w Work) {
 	m.own[p.number] = &w
-	f.touchLocked(m)
+	f.touchLocked(m, true)
 }
 
 // Pending returns the time of the reads that are now pending at the first endpoint.
@@ -550,14 +568,14 @@
 		return
 	}
 	w.Read = 0
-	p.f.touchLocked(p.first)
+	p.f.touchLocked(p.first, false)
 	for i, m := range p.helpers {
 		if p.stored[i] > 0 {
 			m.own[p.number].Read = 0 // its memory is used until the end
 		} else {
 			delete(m.own, p.number)
 		}
-		p.f.touchLocked(m)
+		p.f.touchLocked(m, false)
 	}
 	p.f.wakeLocked()
 }
@@ -571,11 +589,11 @@
 	}
 	for _, m := range p.helpers {
 		delete(m.own, p.number)
-		p.f.touchLocked(m)
+		p.f.touchLocked(m, false)
 	}
 	delete(p.first.own, p.number)
-	p.f.touchLocked(p.first)
-	p.first.health.note(now, o)
+	p.f.touchLocked(p.first, false)
+	p.f.noteLocked(p.first, now, o)
 	p.f.wakeLocked()
 }
 
@@ -584,7 +602,7 @@
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
 	if m := p.f.members[id]; m != nil {
-		m.health.note(now, o)
+		p.f.noteLocked(m, now, o)
 	}
 }
 
--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// Pattern: the largest of the short prompts on a busy fleet. Guards against refusing a prompt that is a little longer than one
+// pass may read (23,840 tokens on the grown site, refused 20 times in trouble-3).
+func TestLargestShortPromptIsServed(t *testing.T) {
+	f := newFleet(4)
+	now := start
+	for range 36 {
+		p := place(t, f, now, shortPrompt)
+		now = now.Add(100 * time.Millisecond)
+		p.Begun()
+	}
+	largest := shortPrompt
+	largest.Tokens = 23_840
+	largest.Limit = 10 * time.Second
+	place(t, f, now, largest)
+}
+
 // Pattern: two long prompts at one moment. Guards against reads that meet on the same engines, where the second one waits
 // for an unknown time, and against a longer prompt that goes before a shorter one.
 func TestLongPromptsTakeTurns(t *testing.T) {
@@ -331,6 +347,30 @@
 	place(t, f, now, shortPrompt, other(bad))
 }
 
+// Pattern: a data centre is cut off. Guards against requests that try one of its endpoints after the other.
+func TestUnreachableDataCentreIsPassedOver(t *testing.T) {
+	f := newFleet(21)
+	now := start
+	tried := 0
+	for range 40 {
+		now = now.Add(10 * time.Millisecond)
+		p := place(t, f, now, shortPrompt)
+		var n int
+		if _, err := fmt.Sscanf(p.First().ID, "e%d", &n); err != nil {
+			t.Fatal(err)
+		}
+		o := endpoint.Good
+		if n%3 == 0 { // the engines of dc0
+			o = endpoint.Unreachable
+			tried++
+		}
+		p.End(now, o)
+	}
+	if tried > 4 {
+		t.Errorf("%d requests went to the data centre that is cut off", tried)
+	}
+}
+
 // Guards against a cold endpoint that gets more than it bears from all VMs together.
 func TestColdBoundHoldsForAllVMs(t *testing.T) {
 	for _, n := range []int{1, 3, 9, 59} {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -106,6 +106,8 @@
 		return refusal(sendErr.verdict, customer.ReasonEndpointFailed, errSilent.Error()), endpoint.Broken
 	case sendErr != nil && ctx.Err() != nil:
 		return refusal(sendErr.verdict, customer.ReasonDeadline, "the time limit is over"), withdrawn(ctx)
+	case sendErr != nil && sendErr.verdict == customer.NotRun:
+		return refusal(customer.NotRun, customer.ReasonEndpointFailed, "no connection: "+sendErr.Error()), endpoint.Unreachable
 	case sendErr != nil:
 		return refusal(sendErr.verdict, customer.ReasonEndpointFailed, "no whole answer: "+sendErr.Error()), endpoint.Broken
 	case !head.Own:
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -21,7 +21,7 @@
 // Connections to endpoints.
 const (
 	// dialTimeout bounds the opening of a connection. Endpoints are a few milliseconds away.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// idleFor is how long a connection is kept without use. It is below the idle timeouts of usual servers, because a
 	// request that crosses the server's close may have run.
 	idleFor = 1500 * time.Millisecond
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -62,6 +62,7 @@
 	fields := log.Fields{"status": status, "verdict": r.Verdict().String(), "reason": string(r.Reason())}
 	if c != nil {
 		fields["request"], fields["host"], fields["path"] = c.ID, c.Host, c.Path
+		fields["promptTokens"] = c.PromptTokens
 		fields["ageMs"] = time.Since(c.Arrived).Milliseconds()
 	}
 	h.logger.WithFields(fields).Info("forward: refused: " + r.Message())
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"goldcrestpath/customer"
 	"goldcrestpath/oplog"
 	"goldcrestpath/peer"
 	"goldcrestpath/platform"
@@ -24,8 +26,10 @@
 	longPoll = 700 * time.Millisecond
 	// pollEvery is the time between the reader's requests for endpoints' records, which change all the time.
 	pollEvery = 600 * time.Millisecond
-	// retryEvery is the time between reads after a failure.
-	retryEvery = 250 * time.Millisecond
+	// retryFirst and retryLongest bound the time between reads after failures, which doubles. One VM that gets through passes
+	// the records on to all others.
+	retryFirst   = 250 * time.Millisecond
+	retryLongest = 2 * time.Second
 	// awayAfter is how long no VM has confirmed a copy before the store counts as having been away.
 	awayAfter = 2 * time.Second
 	// lapseWindow is how long after the store's return entries count as lapsed and not as removed.
@@ -118,14 +122,19 @@
 }
 
 func (f *feed) run(t *topicCopy) {
+	backoff := customer.NewBackoff(retryFirst, retryLongest, rand.Float64)
+	failures := 0
 	for f.ctx.Err() == nil {
 		if wait := f.untilRead(t, time.Now()); wait > 0 {
 			f.sleep(wait)
 			continue
 		}
 		if err := f.readStore(t); err != nil {
-			f.sleep(retryEvery)
+			f.sleep(retryFirst/2 + backoff.Delay(failures))
+			failures++
+			continue
 		}
+		failures = 0
 	}
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -33,6 +34,7 @@
 	worksPerMessage = 40
 	bytesPerMessage = 1200
 	datagramBuffer  = 64 << 10
+	introduced      = 3 // addresses of other VMs in a heartbeat
 )
 
 // Receiver takes over the records that peers pass on.
@@ -269,10 +271,18 @@
 			to = append(to, p)
 		}
 	}
-	x.sendLocked(message{Beat: true, Peers: alive, Waits: encodeWaits(waits, now)}, to)
+	x.sendLocked(message{Beat: true, Peers: introductions(alive), Waits: encodeWaits(waits, now)}, to)
 	x.sendLoadsLocked(loads, now, to)
 }
 
+// introductions returns some of the live VMs, others each time. A complete list in every heartbeat would grow the traffic of
+// n VMs with the cube of n.
+func introductions(alive []string) []string {
+	some := slices.Clone(alive)
+	rand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	return some[:min(len(some), introduced)]
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -327,7 +337,7 @@
 		x.addLocked(address)
 	}
 	if fresh && m.Beat {
-		x.sendLocked(message{Beat: true, Peers: x.aliveLocked(now)}, []*peerState{p})
+		x.sendLocked(message{Beat: true, Peers: introductions(x.aliveLocked(now))}, []*peerState{p})
 	}
 	x.mu.Unlock()
 	if len(m.Loads) > 0 && !stale {
