endpoint, gateway, forward: Probe data centres that cannot be reached; isolated VMs are not ready

Change: three failed connections in a row mark a data centre as cut off, which only a probe of the VM itself ends. A VM without any endpoint is not ready and closes the connections that it refuses on. Sends that reach nobody are not charged to the retry budget, and silence ends an attempt only where the budget has another one.

--- a/endpoint/fleet.go
+++ b/endpoint/fleet.go
@@ -222,7 +222,7 @@
 	if m.entry.Draining || f.drained[m.entry.DataCentre] || !m.health.usable(now) {
 		return false
 	}
-	if r := f.reaches[m.entry.DataCentre]; r != nil && now.Before(r.until) {
+	if r := f.reaches[m.entry.DataCentre]; r != nil && !r.usable() {
 		return false
 	}
 	if s == nil || s.ColdPerSecond <= 0 || !now.Before(m.coldUntil) {
@@ -263,5 +263,58 @@
 		r = &reach{}
 		f.reaches[m.entry.DataCentre] = r
 	}
-	r.note(now, o)
+	r.note(o)
+}
+
+// Unreachable returns an endpoint of each data centre that cannot be reached, to be probed.
+func (f *Fleet) Unreachable() []Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var targets []Target
+	for dataCentre, r := range f.reaches {
+		if r.usable() {
+			continue
+		}
+		var there []*member
+		for _, m := range f.members {
+			if m.entry.DataCentre == dataCentre {
+				there = append(there, m)
+			}
+		}
+		if len(there) == 0 {
+			r.failed = 0
+			continue
+		}
+		m := there[int(f.random()*float64(len(there)))]
+		targets = append(targets, Target{ID: m.entry.ID, Address: m.entry.Address})
+	}
+	return targets
+}
+
+// Reached records that an endpoint accepted a connection, so that its data centre can be reached.
+func (f *Fleet) Reached(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil {
+		delete(f.reaches, m.entry.DataCentre)
+		f.wakeLocked()
+	}
+}
+
+// Isolated says whether no endpoint that may be used can be reached.
+func (f *Fleet) Isolated() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cut := false
+	for _, m := range f.members {
+		if m.entry.Draining || f.drained[m.entry.DataCentre] {
+			continue
+		}
+		r := f.reaches[m.entry.DataCentre]
+		if r == nil || r.usable() {
+			return false
+		}
+		cut = true
+	}
+	return cut
 }
--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -64,27 +64,23 @@
 	return h.broken == 0 || !h.trial
 }
 
-// reach is the evidence of the way to one data centre.
+// reach is the evidence of the way to one data centre. Once it counts as cut off, only a probe brings it back: callers'
+// requests must not find out.
 type reach struct {
 	failed int // connections that could not be opened since the last answer from there
-	until  time.Time
 }
 
-const (
-	// unreachableAfter is how many failed connections in a row make a data centre count as cut off. A few can be due to
-	// endpoints that crashed.
-	unreachableAfter = 3
-	// unreachablePause is how long a data centre is passed over before its endpoints are tried again.
-	unreachablePause = time.Second
-)
+// unreachableAfter is how many failed connections in a row make a data centre count as cut off. A few can be due to
+// endpoints that crashed.
+const unreachableAfter = 3
 
-func (r *reach) note(now time.Time, o Outcome) {
+func (r *reach) note(o Outcome) {
 	switch o {
 	case Unreachable:
-		if r.failed++; r.failed >= unreachableAfter {
-			r.until = now.Add(unreachablePause)
-		}
+		r.failed++
 	case Good, Errored, Refused:
-		*r = reach{}
+		r.failed = 0
 	}
 }
+
+func (r *reach) usable() bool { return r.failed < unreachableAfter }
--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -341,7 +341,7 @@
 		wait = prompt.Waiter.Wait
 	}
 	arriving := prompt.Waiter == nil && prompt.Waited <= prompt.Aim/arrivalShare
-	if arriving && f.hopeless(now, &wait, candidates, s.Engine, prompt) {
+	if arriving && f.hopeless(now, &wait, candidates, need, s.Engine, prompt) {
 		return nil, refuseLate(prompt)
 	}
 	if now.After(wait.StartBy) {
@@ -422,7 +422,7 @@
 // hopeless says whether a prompt that has just arrived cannot start in time, or soon enough where its caller came back: what
 // goes before it and what is being read takes too long on the engines that long prompts may use. Such a prompt is refused at
 // once. All others are served, if late.
-func (f *Fleet) hopeless(now time.Time, wait *Wait, candidates []candidate, e *Engine, prompt Prompt) bool {
+func (f *Fleet) hopeless(now time.Time, wait *Wait, candidates []candidate, need int, e *Engine, prompt Prompt) bool {
 	small := f.passBudget(e)
 	if prompt.Returned {
 		small = 0 // late in any case, so it takes only engines where it disturbs nobody
@@ -440,17 +440,13 @@
 			strict++
 		}
 	}
-	ahead := func(o *Wait) {
-		if o.Service == wait.Service && o.ID != wait.ID && o.before(wait, now) {
-			work += o.Read
-		}
-	}
-	for o := range f.waiters {
-		ahead(&o.Wait)
-	}
-	for _, p := range f.peerWaits {
-		for i := range p.waits {
-			ahead(&p.waits[i])
+	ahead := f.aheadLocked(wait, now)
+	work += ahead
+	if ahead == 0 {
+		for n := min(int((wait.Read+longPart-1)/longPart), maxHelpers+1); n >= 1 && wait.Read/time.Duration(n) <= forcedPart; n-- {
+			if f.split(candidates, wait.Read, need, n) != nil {
+				return false
+			}
 		}
 	}
 	queue := time.Duration(float64(work) / capacity)
--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -350,24 +350,42 @@
 // Pattern: a data centre is cut off. Guards against requests that try one of its endpoints after the other.
 func TestUnreachableDataCentreIsPassedOver(t *testing.T) {
 	f := newFleet(21)
-	now := start
-	tried := 0
-	for range 40 {
-		now = now.Add(10 * time.Millisecond)
-		p := place(t, f, now, shortPrompt)
-		var n int
-		if _, err := fmt.Sscanf(p.First().ID, "e%d", &n); err != nil {
-			t.Fatal(err)
+	var others []string // engines of the other data centres
+	for i := range 21 {
+		if e := engineEntry(i); e.DataCentre != "dc0" {
+			others = append(others, e.ID)
 		}
-		o := endpoint.Good
-		if n%3 == 0 { // the engines of dc0
-			o = endpoint.Unreachable
-			tried++
+	}
+	tried := 0
+	for now := start; ; now = now.Add(10 * time.Millisecond) {
+		p, refusal := f.PlaceGeneration(now, model, shortPrompt, others)
+		if refusal != nil {
+			break
 		}
-		p.End(now, o)
+		p.End(now, endpoint.Unreachable)
+		tried++
+	}
+	if tried > 3 {
+		t.Errorf("%d of 7 engines were tried in the data centre that is cut off", tried)
+	}
+	if _, refusal := f.PlaceGeneration(start.Add(time.Minute), model, shortPrompt, others); refusal == nil {
+		t.Error("a caller's request finds out whether the data centre can be reached again")
+	}
+	place(t, f, start, shortPrompt)
+	if f.Isolated() {
+		t.Error("isolated although two data centres can be reached")
+	}
+	probes := f.Unreachable()
+	if len(probes) != 1 {
+		t.Fatalf("Unreachable = %v, want one endpoint to probe", probes)
+	}
+	f.SetDrained(map[string]bool{"dc1": true, "dc2": true})
+	if !f.Isolated() {
+		t.Error("not isolated although the other data centres are drained")
 	}
-	if tried > 4 {
-		t.Errorf("%d requests went to the data centre that is cut off", tried)
+	f.Reached(probes[0].ID)
+	if f.Isolated() || len(f.Unreachable()) > 0 {
+		t.Error("still cut off after a probe succeeded")
 	}
 }
 
--- a/endpoint/wait.go
+++ b/endpoint/wait.go
@@ -103,11 +103,12 @@
 	f.wakeLocked()
 }
 
-// precededLocked says whether another prompt that waits goes before w.
-func (f *Fleet) precededLocked(w *Wait, now time.Time) bool {
+// othersLocked calls f for each other prompt of the service that waits and goes before w, until f returns false.
+func (f *Fleet) othersLocked(w *Wait, now time.Time, take func(o *Wait) bool) {
+	ahead := func(o *Wait) bool { return o.Service == w.Service && o.ID != w.ID && o.before(w, now) }
 	for o := range f.waiters {
-		if o.Service == w.Service && o.ID != w.ID && o.before(w, now) {
-			return true
+		if ahead(&o.Wait) && !take(&o.Wait) {
+			return
 		}
 	}
 	for vm, p := range f.peerWaits {
@@ -116,10 +117,23 @@
 			continue
 		}
 		for i := range p.waits {
-			if o := &p.waits[i]; o.Service == w.Service && o.before(w, now) {
-				return true
+			if ahead(&p.waits[i]) && !take(&p.waits[i]) {
+				return
 			}
 		}
 	}
-	return false
+}
+
+// precededLocked says whether another prompt that waits goes before w.
+func (f *Fleet) precededLocked(w *Wait, now time.Time) bool {
+	preceded := false
+	f.othersLocked(w, now, func(*Wait) bool { preceded = true; return false })
+	return preceded
+}
+
+// aheadLocked returns the time that the prompts take which go before w.
+func (f *Fleet) aheadLocked(w *Wait, now time.Time) time.Duration {
+	var sum time.Duration
+	f.othersLocked(w, now, func(o *Wait) bool { sum += o.Read; return true })
+	return sum
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -81,7 +81,8 @@
 	return u
 }
 
-// mayRetry says whether the request may be sent to a further endpoint, and takes the send from the budget.
+// mayRetry says whether the request may be sent to a further endpoint after a failure, and takes the send from the budget.
+// Where no connection could be opened, nothing arrived that the budget would count.
 func (q *request) mayRetry(ctx context.Context, reason string) bool {
 	if ctx.Err() != nil {
 		return false
@@ -89,7 +90,8 @@
 	if q.mayRun && !q.route.Kind.Repeatable() || q.sends >= q.route.Attempts || q.rejected > maxRejected {
 		return false
 	}
-	if !q.h.budget.Spend(time.Now(), q.service) {
+	free := q.unreached || q.prepaid.Swap(false)
+	if !free && !q.h.budget.Spend(time.Now(), q.service) {
 		q.log().WithField("reason", reason).Info("forward: no retry, the budget is used up")
 		q.h.retried("budgetUsedUp").Inc(1)
 		return false
@@ -98,9 +100,10 @@
 	return true
 }
 
-// count records a send by its verdict.
-func (q *request) count(id string, v customer.Verdict) {
+// count records a send by its verdict and by what it showed of the endpoint.
+func (q *request) count(id string, v customer.Verdict, o endpoint.Outcome) {
 	q.tried = append(q.tried, id)
+	q.unreached = o == endpoint.Unreachable
 	if v == customer.NotRun {
 		q.rejected++
 		return
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -87,7 +87,7 @@
 	if refusal != nil {
 		verdict = refusal.Verdict()
 	}
-	q.count(p.First().ID, verdict)
+	q.count(p.First().ID, verdict, outcome)
 	return head, body, refusal
 }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -21,7 +21,7 @@
 // Connections to endpoints.
 const (
 	// dialTimeout bounds the opening of a connection. Endpoints are a few milliseconds away.
-	dialTimeout = 250 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	// idleFor is how long a connection is kept without use. It is below the idle timeouts of usual servers, because a
 	// request that crosses the server's close may have run.
 	idleFor = 1500 * time.Millisecond
@@ -123,6 +123,9 @@
 	sends    int       // sends that may have run
 	rejected int       // sends that certainly did not run
 	mayRun   bool
+
+	unreached bool        // the last send reached no endpoint
+	prepaid   atomic.Bool // the budget has been charged for the next send
 }
 
 // ServeHTTP implements http.Handler.
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -76,6 +76,9 @@
 	if wait := r.RetryAfter(); wait > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
+	if r.Reason() == customer.ReasonNoEndpoint || r.Reason() == customer.ReasonNotReady {
+		header.Set("Connection", "close") // another VM may have what this one lacks
+	}
 	h.codec.EncodeRefusal(header, c)
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // a caller that is gone needs no answer
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -172,7 +172,15 @@
 	sent := time.Now()
 	silence := max(silentPauses*q.route.Pause, shortestSilence)
 	first := max(p.Expected()+firstEventSlack, shortestSilence)
-	watch := q.watch(p, first, silence, func() { cancel(errSilent) })
+	watch := q.watch(p, first, silence, func() bool {
+		// Without the budget for another send, a late event is worth more than none.
+		if !q.h.budget.Spend(time.Now(), q.service) {
+			return false
+		}
+		q.prepaid.Store(true)
+		cancel(errSilent)
+		return true
+	})
 	defer watch.stop()
 
 	outcome := endpoint.Broken
@@ -183,7 +191,7 @@
 		if failure != nil {
 			verdict = failure.Verdict()
 		}
-		q.count(p.First().ID, verdict)
+		q.count(p.First().ID, verdict, outcome)
 	}()
 	last := ""
 	if d.begun {
@@ -234,7 +242,7 @@
 	stopped bool
 }
 
-func (q *request) watch(p *endpoint.Placement, first, silence time.Duration, end func()) *watch {
+func (q *request) watch(p *endpoint.Placement, first, silence time.Duration, end func() bool) *watch {
 	w := &watch{last: time.Now(), silence: first}
 	if q.sends+1 >= q.route.Attempts || !q.route.Kind.Repeatable() {
 		return w
@@ -249,8 +257,8 @@
 		case w.stopped:
 		case left > 0:
 			w.timer.Reset(max(left, time.Millisecond))
-		default:
-			end()
+		case !end():
+			w.timer.Reset(silence)
 		}
 		w.silence = silence
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,11 +97,13 @@
 		return nil, err
 	}
 	g.feed.start(g.exchange)
-	g.goroutine.Add(1)
-	go func() {
-		defer g.goroutine.Done()
-		g.sweep(ctx)
-	}()
+	for _, loop := range []func(context.Context){g.sweep, g.probe} {
+		g.goroutine.Add(1)
+		go func() {
+			defer g.goroutine.Done()
+			loop(ctx)
+		}()
+	}
 	g.logger.WithFields(log.Fields{"vm": s.Name(), "dataCentre": s.DataCentre(), "version": version, "callers": s.CallerListen()}).
 		Info("gateway: started")
 	return g, nil
@@ -290,7 +292,7 @@
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.handler.Table() == nil || !g.feed.loaded() || g.fleet.Len() == 0 {
+	if g.stopping.Load() || g.handler.Table() == nil || !g.feed.loaded() || g.fleet.Len() == 0 || g.fleet.Isolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -305,6 +307,40 @@
 	return mux
 }
 
+// probeEvery is the time between probes of data centres that cannot be reached, and probeTimeout how long one takes at most.
+const (
+	probeEvery   = 400 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
+)
+
+// probe opens connections to data centres that cannot be reached until they can.
+func (g *Gateway) probe(ctx context.Context) {
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	dialer := http1.Dialer(probeTimeout)
+	isolated := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, t := range g.fleet.Unreachable() {
+			conn, err := dialer.DialContext(ctx, "tcp", t.Address)
+			if err != nil {
+				continue // the next probe asks again
+			}
+			conn.Close()
+			g.fleet.Reached(t.ID)
+			g.logger.WithField("endpoint", t.ID).Info("gateway: a data centre can be reached again")
+		}
+		if now := g.fleet.Isolated(); now != isolated {
+			isolated = now
+			g.logger.WithField("isolated", now).Warn("gateway: whether any endpoint can be reached changed")
+		}
+	}
+}
+
 func (g *Gateway) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -25,8 +25,11 @@
 	aliveFor = 1500 * time.Millisecond
 	// forgetAfter is how long a silent VM keeps its part of what the VMs divide among them.
 	forgetAfter = time.Minute
-	// silentEvery is the time between heartbeats to VMs that do not answer.
-	silentEvery = 3 * time.Second
+	// silentEvery is the time between heartbeats to VMs that do not answer. A VM that starts while the store is out learns of
+	// the others by them only, so it is shorter for those that were heard a short time ago.
+	silentEvery  = 3 * time.Second
+	missingEvery = 600 * time.Millisecond
+	missingFor   = 20 * time.Second
 )
 
 // Limits of one datagram, below the usual 1,500 bytes of a packet.
@@ -266,7 +269,11 @@
 			x.membersLocked()
 			continue
 		}
-		if heard || now.Sub(p.beaten) >= silentEvery {
+		every := silentEvery
+		if now.Sub(later(p.heard, p.added)) < missingFor {
+			every = missingEvery
+		}
+		if heard || now.Sub(p.beaten) >= every {
 			p.beaten = now
 			to = append(to, p)
 		}
