endpoint, peer: Pass over engines that refuse to help, and tell peers

Each long prompt asks up to 16 engines to help, one of them refused, and for 4 s no long prompt was read. The refusal names the engine at fault. Change: that engine is passed over for 2.5 s by all VMs. VMs ask a store that is out less often, the more of them there are.

--- a/endpoint/fleet.go
+++ b/endpoint/fleet.go
@@ -42,6 +42,8 @@
 	health    health
 	allowance allowance
 	coldUntil time.Time
+	suspect   time.Time // until when it is passed over because it refused to help
+	accused   bool      // this VM found so
 	goneAt    time.Time // when a lapsed entry counts as gone, zero while the entry stands
 }
 
@@ -219,7 +221,7 @@
 
 // usable says whether a request may be sent to the endpoint, apart from room.
 func (f *Fleet) usable(m *member, s *Service, now time.Time) bool {
-	if m.entry.Draining || f.drained[m.entry.DataCentre] || !m.health.usable(now) {
+	if m.entry.Draining || f.drained[m.entry.DataCentre] || !m.health.usable(now) || now.Before(m.suspect) {
 		return false
 	}
 	if r := f.reaches[m.entry.DataCentre]; r != nil && !r.usable() {
--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -593,12 +593,17 @@
 	p.f.wakeLocked()
 }
 
-// Blame records that an endpoint of the placement other than the first one was at fault.
-func (p *Placement) Blame(now time.Time, id string, o Outcome) {
+// Blame passes over an engine of the placement that another one named as the cause of its refusal: it leaves or helps too many
+// others. Peers learn of it, because the entries of endpoints say so only later, or not at all while the store is out.
+func (p *Placement) Blame(now time.Time, address string) {
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
-	if m := p.f.members[id]; m != nil {
-		p.f.noteLocked(m, now, o)
+	for _, m := range p.helpers {
+		if m.entry.Address == address {
+			m.suspect = now.Add(suspectFor)
+			m.accused = true
+			p.f.signalLocked()
+		}
 	}
 }
 
--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -347,6 +347,25 @@
 	place(t, f, now, shortPrompt, other(bad))
 }
 
+// Pattern: engines leave while the store is out. Guards against long prompts that are refused again and again because one of
+// their many helpers leaves (bmhc-tentline-grown, trouble-3: no long prompt was read for 4 s).
+func TestRefusingHelperIsPassedOver(t *testing.T) {
+	a, b := newFleet(21), newFleet(21)
+	p := place(t, a, start, longPrompt)
+	var leaving endpoint.Target
+	for _, h := range p.Helpers() {
+		leaving = h
+	}
+	p.Blame(start, leaving.Address)
+	p.End(start, endpoint.Refused)
+	b.MergeSuspects(a.Suspects(start))
+	for name, f := range map[string]*endpoint.Fleet{"the VM": a, "its peer": b} {
+		if again := place(t, f, start.Add(200*time.Millisecond), longPrompt); slices.Contains(engines(again), leaving.ID) {
+			t.Errorf("%s asks %s again", name, leaving.ID)
+		}
+	}
+}
+
 // Pattern: a data centre is cut off. Guards against requests that try one of its endpoints after the other.
 func TestUnreachableDataCentreIsPassedOver(t *testing.T) {
 	f := newFleet(21)
--- a/forward/call.go
+++ b/forward/call.go
@@ -45,7 +45,7 @@
 	Own     bool        // it answers this attempt and no other
 	NotRun  bool        // the endpoint states that it did not run the request
 	Genuine bool        // it is an answer of the endpoint as the endpoint made it
-	AtFault string      // another endpoint at fault, "" where none is named
+	AtFault string      // address of another endpoint at fault, "" where none is named
 }
 
 // Codec translates between the forwarder and the wire.
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -30,6 +30,8 @@
 	// the records on to all others.
 	retryFirst   = 250 * time.Millisecond
 	retryLongest = 2 * time.Second
+	// retryPerVM lengthens that on large deployments, so that all VMs together ask a store that is out about 30 times a second.
+	retryPerVM = 60 * time.Millisecond
 	// awayAfter is how long no VM has confirmed a copy before the store counts as having been away.
 	awayAfter = 2 * time.Second
 	// lapseWindow is how long after the store's return entries count as lapsed and not as removed.
@@ -37,7 +39,7 @@
 	// fetchEvery is the shortest time between fetches of one topic from peers.
 	fetchEvery = 50 * time.Millisecond
 	// introduceEvery is the time between looks for VMs that this one does not know.
-	introduceEvery = 20 * time.Second
+	introduceEvery = time.Minute
 )
 
 // source is what the feed needs of the platform's store.
@@ -122,7 +124,6 @@
 }
 
 func (f *feed) run(t *topicCopy) {
-	backoff := customer.NewBackoff(retryFirst, retryLongest, rand.Float64)
 	failures := 0
 	for f.ctx.Err() == nil {
 		if wait := f.untilRead(t, time.Now()); wait > 0 {
@@ -130,7 +131,8 @@
 			continue
 		}
 		if err := f.readStore(t); err != nil {
-			f.sleep(retryFirst/2 + backoff.Delay(failures))
+			longest := max(retryLongest, time.Duration(len(f.exchange.Alive()))*retryPerVM)
+			f.sleep(retryFirst/2 + customer.NewBackoff(retryFirst, longest, rand.Float64).Delay(failures))
 			failures++
 			continue
 		}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -223,12 +223,13 @@
 func (x *Exchange) flush(now time.Time) {
 	waits, changed := x.fleet.TakeWaits()
 	loads := x.fleet.TakeLoads()
+	suspects := x.fleet.Suspects(now)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	to := x.heardLocked()
 	x.sendLoadsLocked(loads, now, to)
-	if changed {
-		x.sendLocked(message{Waits: encodeWaits(waits, now)}, to)
+	if changed || len(suspects) > 0 {
+		x.sendLocked(message{Waits: encodeWaits(waits, now), Suspects: encodeSuspects(suspects, now)}, to)
 	}
 }
 
@@ -350,6 +351,9 @@
 	if len(m.Loads) > 0 && !stale {
 		x.fleet.MergeLoads(now, m.From, decodeLoads(m.Loads, now))
 	}
+	if len(m.Suspects) > 0 {
+		x.fleet.MergeSuspects(decodeSuspects(m.Suspects, now))
+	}
 	if m.Waits != nil && !stale {
 		x.fleet.MergeWaits(now, m.From, decodeWaits(*m.Waits, now))
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -11,15 +11,16 @@
 
 // message is one datagram. Unknown fields of later versions are ignored.
 type message struct {
-	From  string   `cbor:"1,keyasint"`           // address of the sender
-	Boot  int64    `cbor:"2,keyasint"`           // start of the sender's process in Unix nanoseconds
-	Seq   uint64   `cbor:"3,keyasint"`           // counts the sender's datagrams
-	Loads []load   `cbor:"4,keyasint,omitempty"` //
-	Feeds []feed   `cbor:"5,keyasint,omitempty"` // new records
-	Peers []string `cbor:"6,keyasint,omitempty"` // VMs that the sender hears, in heartbeats
-	Beat  bool     `cbor:"7,keyasint,omitempty"`
-	Waits *[]wait  `cbor:"9,keyasint,omitempty"` // all prompts that wait at the sender, nil where that is not told
-	Bye   bool     `cbor:"8,keyasint,omitempty"` // the sender stops
+	From     string    `cbor:"1,keyasint"`           // address of the sender
+	Boot     int64     `cbor:"2,keyasint"`           // start of the sender's process in Unix nanoseconds
+	Seq      uint64    `cbor:"3,keyasint"`           // counts the sender's datagrams
+	Loads    []load    `cbor:"4,keyasint,omitempty"` //
+	Feeds    []feed    `cbor:"5,keyasint,omitempty"` // new records
+	Peers    []string  `cbor:"6,keyasint,omitempty"` // VMs that the sender hears, in heartbeats
+	Beat     bool      `cbor:"7,keyasint,omitempty"`
+	Waits    *[]wait   `cbor:"9,keyasint,omitempty"` // all prompts that wait at the sender, nil where that is not told
+	Suspects []suspect `cbor:"10,keyasint,omitempty"`
+	Bye      bool      `cbor:"8,keyasint,omitempty"` // the sender stops
 }
 
 type load struct {
@@ -64,6 +65,28 @@
 	return out
 }
 
+type suspect struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint uint64
+	Left     int64 // milliseconds
+}
+
+func encodeSuspects(suspects []endpoint.Suspect, now time.Time) []suspect {
+	out := make([]suspect, len(suspects))
+	for i, s := range suspects {
+		out[i] = suspect{Endpoint: uint64(s.Endpoint), Left: s.Until.Sub(now).Milliseconds()}
+	}
+	return out
+}
+
+func decodeSuspects(suspects []suspect, now time.Time) []endpoint.Suspect {
+	out := make([]endpoint.Suspect, len(suspects))
+	for i, s := range suspects {
+		out[i] = endpoint.Suspect{Endpoint: endpoint.Key(s.Endpoint), Until: now.Add(time.Duration(s.Left) * time.Millisecond)}
+	}
+	return out
+}
+
 // feed holds the records of a topic from one offset up to another that changed something, and how long ago the store
 // confirmed that nothing follows.
 type feed struct {
