--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -21,6 +21,7 @@
 	Errored                        // the endpoint answered that it failed
 	Refused                        // the endpoint refused before running, because it is full or leaving
 	Unreachable                    // no connection could be opened
+	Absent                         // the endpoint's machine refused the connection
 	Broken                         // a cut or foreign answer, or silence
 	Withdraw                       // ended by the caller or this VM, which shows nothing
 )
@@ -46,7 +47,7 @@
 	case Refused:
 		// A full endpoint is not a faulty one. A short pause lets its queue drain.
 		h.until = now.Add(refusedPause)
-	case Broken, Unreachable:
+	case Broken, Unreachable, Absent:
 		h.failures += failureWeight * (1 - h.failures)
 		h.until = now.Add(min(firstPause<<min(h.broken, 6), longestPause))
 		h.broken++
@@ -78,7 +79,7 @@
 	switch o {
 	case Unreachable:
 		r.failed++
-	case Good, Errored, Refused:
+	case Good, Errored, Refused, Absent:
 		r.failed = 0
 	}
 }
--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -174,6 +174,9 @@
 			chosen = f.firstFit(candidates, read, need, s.Engine)
 		}
 	}
+	if chosen == nil && read <= longPart {
+		return nil, f.refuseLocked(now, service, len(candidates))
+	}
 	if chosen == nil {
 		var refusal *customer.Refusal
 		if chosen, refusal = f.divide(now, candidates, need, s, prompt); refusal != nil {
--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -408,6 +408,34 @@
 	}
 }
 
+// Guards against taking a data centre for cut off because endpoints there crashed (incident inc-8e93).
+func TestCrashedEndpointsAreNoPartition(t *testing.T) {
+	f := newFleet(21)
+	for range 5 {
+		place(t, f, start, shortPrompt).End(start, endpoint.Absent)
+	}
+	if probes := f.Unreachable(); len(probes) > 0 {
+		t.Errorf("Unreachable = %v after connections that were refused", probes)
+	}
+}
+
+// Pattern: short prompts while no engine has a free place. Guards against refusing them at once as if their aim were lost
+// (incident inc-8e93, 24.5 s): places become free within milliseconds.
+func TestShortPromptWaitsForAPlace(t *testing.T) {
+	f := newFleet(1)
+	var last *endpoint.Placement
+	for range 16 {
+		last = place(t, f, start, shortPrompt)
+		last.Begun()
+	}
+	_, refusal := f.PlaceGeneration(start, model, shortPrompt, nil)
+	if refusal == nil || refusal.Reason() != customer.ReasonQueueFull {
+		t.Fatalf("refusal = %v, want the prompt to wait", refusal)
+	}
+	last.End(start, endpoint.Good)
+	place(t, f, start, shortPrompt)
+}
+
 // Guards against a cold endpoint that gets more than it bears from all VMs together.
 func TestColdBoundHoldsForAllVMs(t *testing.T) {
 	for _, n := range []int{1, 3, 9, 59} {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -103,7 +103,7 @@
 // count records a send by its verdict and by what it showed of the endpoint.
 func (q *request) count(id string, v customer.Verdict, o endpoint.Outcome) {
 	q.tried = append(q.tried, id)
-	q.unreached = o == endpoint.Unreachable
+	q.unreached = o == endpoint.Unreachable || o == endpoint.Absent
 	if v == customer.NotRun {
 		q.rejected++
 		return
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"goldcrestpath/customer"
 	"goldcrestpath/endpoint"
@@ -106,6 +108,8 @@
 		return refusal(sendErr.verdict, customer.ReasonEndpointFailed, errSilent.Error()), endpoint.Broken
 	case sendErr != nil && ctx.Err() != nil:
 		return refusal(sendErr.verdict, customer.ReasonDeadline, "the time limit is over"), withdrawn(ctx)
+	case sendErr != nil && errors.Is(sendErr.err, syscall.ECONNREFUSED):
+		return refusal(customer.NotRun, customer.ReasonEndpointFailed, "no connection: "+sendErr.Error()), endpoint.Absent
 	case sendErr != nil && sendErr.verdict == customer.NotRun:
 		return refusal(customer.NotRun, customer.ReasonEndpointFailed, "no connection: "+sendErr.Error()), endpoint.Unreachable
 	case sendErr != nil:
