--- a/caller/operating_test.go
+++ b/caller/operating_test.go
@@ -9,7 +9,7 @@
 
 // Guards against a refusal reason without advice for operators, or with another status than callers get.
 func TestOperatingPageReasons(t *testing.T) {
-	page, err := os.ReadFile("../docs/OPERATING.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/goldcrest/operating_test.go
+++ b/cmd/goldcrest/operations_test.go
@@ -14,11 +14,11 @@
 	"goldcrestpath/operator"
 )
 
-const operatingPage = "../../docs/OPERATING.md"
+const operationsPage = "../../docs/OPERATIONS.md"
 
 // Guards against a page whose INI blocks are refused, or that lacks a key which the files may have.
 func TestOperatingPageFiles(t *testing.T) {
-	data, err := os.ReadFile(operatingPage)
+	data, err := os.ReadFile(operationsPage)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/goldcrest/serve.go
+++ b/cmd/goldcrest/serve.go
@@ -61,17 +61,22 @@
 				return err
 			}
 			setLogger(s, cmd.Root().ErrWriter)
-			v, err := newVM(s)
-			if err != nil {
-				return err
-			}
-			return serve(ctx, v, signals)
+			return serve(ctx, s, signals)
 		},
 	}
 }
 
-// serve runs a VM until the first signal, which begins a graceful stop. The second one ends the stop at once.
-func serve(ctx context.Context, v entryVM, signals <-chan os.Signal) error {
+// serve starts a VM and runs it.
+func serve(ctx context.Context, s *operator.Settings, signals <-chan os.Signal) error {
+	v, err := newVM(s)
+	if err != nil {
+		return err
+	}
+	return await(ctx, v, signals)
+}
+
+// await runs a VM until the first signal, which begins a graceful stop. The second one ends the stop at once.
+func await(ctx context.Context, v entryVM, signals <-chan os.Signal) error {
 	select {
 	case sig := <-signals:
 		log.Infof("goldcrest: stopping on %v", sig)
@@ -127,7 +132,7 @@
 			}
 		}
 	}()
-	return serve(ctx, g, signals)
+	return await(ctx, g, signals)
 }
 
 func setLogger(s *operator.Settings, w io.Writer) {
