--- a/forward/stream.go
+++ b/forward/stream.go
@@ -21,6 +21,8 @@
 const (
 	// firstEventSlack is added to the predicted time to the first event before the endpoint counts as silent.
 	firstEventSlack = 700 * time.Millisecond
+	// firstEventAims is how many times its aim the first event of a prompt may take before the endpoint counts as silent.
+	firstEventAims = 1.25
 	// silentPauses is how many times the pause that its route declares a stream may be silent. Callers give a stream up
 	// after eight of them, and at the earliest after two seconds.
 	silentPauses    = 4
@@ -171,7 +173,8 @@
 	defer cancel(nil)
 	sent := time.Now()
 	silence := max(silentPauses*q.route.Pause, shortestSilence)
-	first := max(p.Expected()+firstEventSlack, shortestSilence)
+	// A long prompt that is sent again is read again for seconds, so it gets the time of its aim first.
+	first := max(p.Expected()+firstEventSlack, shortestSilence, time.Duration(firstEventAims*float64(q.route.Aim)))
 	watch := q.watch(p, first, silence, func() bool {
 		// Without the budget for another send, a late event is worth more than none.
 		if !q.h.budget.Spend(time.Now(), q.service) {
