endpoint: Late prompts make way for those that can be in time

Those that had missed their start were read after 5 s all the same and made the next ones late: 46 of 189 in aim. Change: a prompt that misses its start is refused with a time to come back while others wait that can be in time, and a prompt is refused at its arrival where the wait takes half of its slack and others go before it.

--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -329,6 +329,9 @@
 	// only short pauses, and where some do.
 	calmCapacity   = 0.8
 	strictCapacity = 0.25
+	// contendedShare is the part of the time to its latest start that a prompt's predicted wait may take where others go
+	// before it. Shorter prompts that arrive meanwhile go before it too.
+	contendedShare = 0.5
 	// returnShare is the part of the remaining time after which a refused prompt should come back. Callers wait no longer
 	// than a third of it.
 	returnShare = 0.33
@@ -401,6 +404,9 @@
 // streams it does not disturb, and after a while some where it disturbs a few.
 func (f *Fleet) late(now time.Time, wait *Wait, candidates []candidate, read time.Duration, need, most int, prompt Prompt) ([]candidate, *customer.Refusal) {
 	forced := prompt.Waited >= time.Duration(forceShare*float64(prompt.Limit))
+	if !forced && !prompt.Returned && f.aheadLocked(wait, now) > 0 {
+		return nil, refuseLate(prompt) // the engines do more for those that can still be in time
+	}
 	if forced || !f.precededLocked(wait, now) {
 		if chosen := f.calm(candidates, read, need, most); chosen != nil {
 			return chosen, nil
@@ -463,7 +469,11 @@
 	if prompt.Returned {
 		return queue > idleQueue
 	}
-	return queue > wait.StartBy.Sub(now)
+	slack := wait.StartBy.Sub(now)
+	if ahead > 0 {
+		slack = time.Duration(contendedShare * float64(slack))
+	}
+	return queue > slack
 }
 
 // disturbed counts the streams that pause for too long where the engines read a prompt.
