gateway: Decide by the present state which entries peers need

After another VM had passed on an endpoint's removal, the first one took the endpoint's return for no change and told nobody: 5 of 21 engines stayed in use. Change: a record counts as a change by the state of the VM that reads it, whichever way it learned of that.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -74,10 +74,10 @@
 	fetcher fetcher
 	logger  log.Interface
 	topics  map[platform.Topic]*topicCopy
-	apply   func(topic platform.Topic, changed []oplog.Record, lapsed bool)
-	matters func(topic platform.Topic, rec oplog.Record) bool
-	ctx     context.Context
-	done    sync.WaitGroup
+	// apply takes over changed records and returns those that peers need.
+	apply func(topic platform.Topic, changed []oplog.Record, lapsed bool) []oplog.Record
+	ctx   context.Context
+	done  sync.WaitGroup
 
 	mu       sync.Mutex
 	exchange exchange
@@ -185,9 +185,9 @@
 	if f.noteStore(err); err != nil {
 		return err
 	}
-	f.takeRecords(t, records, end, false)
+	needed := f.takeRecords(t, records, end, false)
 	t.confirm(time.Now())
-	f.pass(t, from, end, records)
+	f.exchange.Send(uint8(t.topic), from, end, 0, needed)
 	return nil
 }
 
@@ -204,12 +204,13 @@
 	t.mu.Unlock()
 	t.confirm(time.Now())
 	if from > 0 {
-		f.pass(t, end, end, nil) // peers fetch what they lack
+		f.exchange.Send(uint8(t.topic), end, end, 0, nil) // peers fetch what they lack
 	}
 	return nil
 }
 
-func (f *feed) takeRecords(t *topicCopy, records []oplog.Record, end int64, complete bool) {
+// takeRecords applies records to the copy and returns those that peers need.
+func (f *feed) takeRecords(t *topicCopy, records []oplog.Record, end int64, complete bool) []oplog.Record {
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	var changed []oplog.Record
@@ -218,20 +219,10 @@
 	} else {
 		changed = t.replica.Apply(records, end)
 	}
-	if len(changed) > 0 {
-		f.apply(t.topic, changed, t.lapsing(time.Now()))
+	if len(changed) == 0 {
+		return nil
 	}
-}
-
-// pass sends peers the records that change something.
-func (f *feed) pass(t *topicCopy, from, end int64, records []oplog.Record) {
-	var send []oplog.Record
-	for _, rec := range records {
-		if f.matters(t.topic, rec) {
-			send = append(send, rec)
-		}
-	}
-	f.exchange.Send(uint8(t.topic), from, end, 0, send)
+	return f.apply(t.topic, changed, t.lapsing(time.Now()))
 }
 
 func (t *topicCopy) confirm(at time.Time) {
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/google/go-cmp/cmp"
 
+	"goldcrestpath/endpoint"
 	"goldcrestpath/oplog"
 	"goldcrestpath/platform"
 )
@@ -173,10 +174,13 @@
 			l := link{d: d, vm: vm}
 			fd := newFeed(ctx, vm, client{s, vm}, l, &log.Logger{Handler: discard.New()})
 			d.state[vm], d.gone[vm] = map[string]string{}, map[string]bool{}
-			fd.apply = func(_ platform.Topic, changed []oplog.Record, lapsed bool) {
+			fd.apply = func(_ platform.Topic, changed []oplog.Record, lapsed bool) (needed []oplog.Record) {
 				d.mu.Lock()
 				defer d.mu.Unlock()
 				for _, r := range changed {
+					if !strings.HasPrefix(string(r.Value), "beat") {
+						needed = append(needed, r)
+					}
 					delete(d.state[vm], r.Key)
 					if r.Value == nil {
 						d.gone[vm][r.Key] = lapsed
@@ -184,8 +188,8 @@
 						d.state[vm][r.Key] = string(r.Value)
 					}
 				}
+				return needed
 			}
-			fd.matters = func(_ platform.Topic, r oplog.Record) bool { return !strings.HasPrefix(string(r.Value), "beat") }
 			d.feeds[vm] = fd
 		}
 		for vm, fd := range d.feeds {
@@ -291,6 +295,23 @@
 	})
 }
 
+// Guards against an endpoint that peers never hear of again: the VM that reads for the others passed its entry on, learned of its
+// removal from another reader, and then took its return for no change (day store-out-while-endpoints-leave: 5 of 21 engines in use).
+func TestReturnedEndpointIsPassedOn(t *testing.T) {
+	g := &Gateway{fleet: endpoint.NewFleet(), logger: &log.Logger{Handler: discard.New()}, entries: map[string]endpoint.Entry{}}
+	entry := []byte(`{"service":"s","address":"10.0.0.9:80","zone":"a","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1}`)
+	beat := []byte(`{"service":"s","address":"10.0.0.9:80","zone":"a","slots":4,"state":"ready","coldRemainingMs":0,"sequence":2}`)
+	for i, c := range []struct {
+		value  []byte
+		needed int
+	}{{entry, 1}, {beat, 0}, {nil, 1}, {beat, 1}, {beat, 0}, {[]byte("damaged"), 1}, {entry, 1}} {
+		rec := oplog.Record{Key: "e", Value: c.value, Offset: int64(i)}
+		if needed := g.apply(platform.Endpoints, []oplog.Record{rec}, false); len(needed) != c.needed {
+			t.Errorf("step %d: %d records for peers, want %d", i, len(needed), c.needed)
+		}
+	}
+}
+
 // Guards against a log that blocks traffic or grows without bound.
 func TestBoundedOutput(t *testing.T) {
 	release := make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,7 +72,6 @@
 	mu      sync.Mutex // guards drained and entries
 	drained map[string]bool
 	entries map[string]endpoint.Entry // as last applied
-	told    map[string]endpoint.Entry // as last passed on to peers
 }
 
 // New starts an entry VM. Logs go to w.
@@ -81,7 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		settings: s, output: newBoundedOutput(w), registry: metrics.NewRegistry(), cancel: cancel, idle: newIdleConns(),
-		drained: map[string]bool{}, entries: map[string]endpoint.Entry{}, told: map[string]endpoint.Entry{},
+		drained: map[string]bool{}, entries: map[string]endpoint.Entry{},
 	}
 	g.logger = &log.Logger{Handler: json.New(g.output), Level: log.InfoLevel}
 	g.fleet = endpoint.NewFleet(endpoint.WithColdBound(s.ColdFactor(), s.ColdExtra()))
@@ -90,7 +89,7 @@
 		forward.WithReserver(platform.NewOrders(), time.Duration(holdShare*float64(s.ReservationFree()))))
 	self := net.JoinHostPort(s.PeerAddress(), strconv.Itoa(s.PeerPort()))
 	g.feed = newFeed(ctx, self, platform.NewStore(s.Store()), peer.NewFetcher(), g.logger)
-	g.feed.apply, g.feed.matters = g.apply, g.matters
+	g.feed.apply = g.apply
 	if err := g.listen(self); err != nil {
 		cancel()
 		g.output.Close()
@@ -174,16 +173,21 @@
 	g.logger.WithFields(log.Fields{"rank": rank, "vms": n}).Info("gateway: the known VMs changed")
 }
 
-// apply takes over changed records of a topic, in the order of their offsets.
-func (g *Gateway) apply(topic platform.Topic, changed []oplog.Record, lapsed bool) {
+// apply takes over changed records of a topic, in the order of their offsets, and returns those that peers need. Endpoints
+// write theirs about once a second without any change. What counts as a change is decided by the state of this VM, whichever
+// way it learned of it, because the VM that reads for the others can be another one each time.
+func (g *Gateway) apply(topic platform.Topic, changed []oplog.Record, lapsed bool) []oplog.Record {
 	slices.SortFunc(changed, func(a, b oplog.Record) int { return int(a.Offset - b.Offset) })
+	var needed []oplog.Record
 	for _, rec := range changed {
 		if topic == platform.Operator {
 			g.applyOperator(rec)
-		} else {
-			g.applyEndpoint(rec, lapsed)
+			needed = append(needed, rec)
+		} else if g.applyEndpoint(rec, lapsed) {
+			needed = append(needed, rec)
 		}
 	}
+	return needed
 }
 
 func (g *Gateway) applyOperator(rec oplog.Record) {
@@ -225,35 +229,40 @@
 	g.logger.WithFields(log.Fields{"dataCentre": dataCentre, "drained": drained}).Info("gateway: data centre drain changed")
 }
 
-func (g *Gateway) applyEndpoint(rec oplog.Record, lapsed bool) {
+// applyEndpoint takes over an endpoint's record and says whether it changes more than the time that has passed.
+func (g *Gateway) applyEndpoint(rec oplog.Record, lapsed bool) bool {
 	now := time.Now()
 	fields := log.Fields{"endpoint": rec.Key, "offset": rec.Offset}
 	if rec.Value == nil {
 		g.logger.WithFields(fields).WithField("lapsed", lapsed).Info("gateway: endpoint removed")
 		g.forget(rec.Key)
 		g.fleet.Remove(now, rec.Key, lapsed)
-		return
+		return true
 	}
 	e, err := platform.DecodeEndpoint(rec.Key, rec.Value)
 	if err != nil {
 		g.logger.WithError(err).WithFields(fields).Warn("gateway: endpoint not usable")
 		g.forget(rec.Key)
 		g.fleet.Remove(now, rec.Key, false)
-		return
+		return true
 	}
-	if g.remember(e) {
+	changed := g.remember(e)
+	if changed {
 		fields["service"], fields["address"], fields["draining"] = e.Service, e.Address, e.Draining
 		fields["coldMs"] = e.ColdRemaining.Milliseconds()
 		g.logger.WithFields(fields).Info("gateway: endpoint changed")
 	}
 	g.fleet.Put(now, e, 0)
+	return changed
 }
 
 // remember keeps the entry and says whether it differs from the last one in more than the time that has passed.
 func (g *Gateway) remember(e endpoint.Entry) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return replace(g.entries, e)
+	old, known := g.entries[e.ID]
+	g.entries[e.ID] = e
+	return !known || differs(old, e)
 }
 
 func (g *Gateway) forget(id string) {
@@ -262,13 +271,6 @@
 	delete(g.entries, id)
 }
 
-// replace puts the entry into the map and says whether it differs from the one that it replaces.
-func replace(entries map[string]endpoint.Entry, e endpoint.Entry) bool {
-	old, known := entries[e.ID]
-	entries[e.ID] = e
-	return !known || differs(old, e)
-}
-
 func differs(old, e endpoint.Entry) bool {
 	if e.ColdRemaining <= old.ColdRemaining {
 		old.ColdRemaining = e.ColdRemaining
@@ -276,21 +278,6 @@
 	return old != e
 }
 
-// matters says whether peers need a record. Endpoints write theirs about once a second without any change.
-func (g *Gateway) matters(topic platform.Topic, rec oplog.Record) bool {
-	if topic != platform.Endpoints {
-		return true
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	e, err := platform.DecodeEndpoint(rec.Key, rec.Value)
-	if rec.Value == nil || err != nil {
-		delete(g.told, rec.Key)
-		return true
-	}
-	return replace(g.told, e)
-}
-
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if g.stopping.Load() || g.handler.Table() == nil || !g.feed.loaded() || g.fleet.Len() == 0 || g.fleet.Isolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
