--- a/endpoint/entry.go
+++ b/endpoint/entry.go
@@ -23,7 +23,8 @@
 type Service struct {
 	Name          string
 	HealthPath    string
-	Connections   int     // connections that one endpoint accepts from all VMs
-	ColdPerSecond float64 // requests that a cold endpoint tolerates in a second, 0 where it has no limit
-	Engine        *Engine // nil for a plain service
+	Connections   int           // connections that one endpoint accepts from all VMs
+	ColdPerSecond float64       // requests that a cold endpoint tolerates in a second, 0 where it has no limit
+	Engine        *Engine       // nil for a plain service
+	Pause         time.Duration // shortest pause between events that a route to it accepts, 0 where none declares one
 }
--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -165,13 +165,13 @@
 	}
 	read := s.Engine.ReadTime(prompt.Tokens)
 	var chosen []candidate
-	switch budget := f.passBudget(s.Engine); {
+	switch budget := passBudget(s); {
 	case read <= budget:
-		chosen = f.firstFit(candidates, read, need, s.Engine)
+		chosen = f.firstFit(candidates, read, need, s)
 	case read <= longPart:
 		// Too long for one pass beside short streams, too short to wait for its turn.
 		if chosen = f.split(candidates, read, need, 2); chosen == nil {
-			chosen = f.firstFit(candidates, read, need, s.Engine)
+			chosen = f.firstFit(candidates, read, need, s)
 		}
 	}
 	if chosen == nil && read <= longPart {
@@ -256,9 +256,18 @@
 	return candidates
 }
 
+// shortestPause returns the shortest pause that callers of the service accept.
+func shortestPause(s *Service) time.Duration {
+	if s.Pause > 0 {
+		return s.Pause
+	}
+	return defaultPause
+}
+
 // passBudget is the longest read that one pass may hold without exceeding the shortest pause that callers accept.
-func (f *Fleet) passBudget(e *Engine) time.Duration {
-	return max(defaultPause-pauseMargin-e.PassTime(e.Slots/2, e.Memory/8), defaultPause/5)
+func passBudget(s *Service) time.Duration {
+	pause := shortestPause(s)
+	return max(pause-pauseMargin-s.Engine.PassTime(s.Engine.Slots/2, s.Engine.Memory/8), pause/5)
 }
 
 // score is the time until a read of that length has ended at the engine, with penalties for the streams that it disturbs and
@@ -274,18 +283,19 @@
 
 // firstFit returns the first engine in the common order that reads the prompt in its next pass without disturbing its
 // streams, or else the one with the best score. It returns nil where no single engine has the memory.
-func (f *Fleet) firstFit(candidates []candidate, read time.Duration, need int, e *Engine) []candidate {
-	fill := int(slotShare * float64(e.Slots))
+func (f *Fleet) firstFit(candidates []candidate, read time.Duration, need int, s *Service) []candidate {
+	fill := int(slotShare * float64(s.Engine.Slots))
+	budget := passBudget(s)
 	best := -1
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.place || c.free < need {
 			continue
 		}
-		busy := c.load.busy > 0 && c.load.busy+read > f.passBudget(e)*2/3
+		busy := c.load.busy > 0 && c.load.busy+read > budget*2/3
 		pause := c.load.pause
 		if pause == 0 {
-			pause = defaultPause
+			pause = shortestPause(s)
 		}
 		if !busy && c.load.running < fill && c.pass+c.load.queued+read <= pause-pauseMargin && c.m.health.failures < failureWeight {
 			return candidates[i : i+1]
@@ -347,7 +357,7 @@
 		wait = prompt.Waiter.Wait
 	}
 	arriving := prompt.Waiter == nil && prompt.Waited <= prompt.Aim/arrivalShare
-	if arriving && f.hopeless(now, &wait, candidates, need, s.Engine, prompt) {
+	if arriving && f.hopeless(now, &wait, candidates, need, s, prompt) {
 		return nil, refuseLate(prompt)
 	}
 	if now.After(wait.StartBy) {
@@ -431,8 +441,8 @@
 // hopeless says whether a prompt that has just arrived cannot start in time, or soon enough where its caller came back: what
 // goes before it and what is being read takes too long on the engines that long prompts may use. Such a prompt is refused at
 // once. All others are served, if late.
-func (f *Fleet) hopeless(now time.Time, wait *Wait, candidates []candidate, need int, e *Engine, prompt Prompt) bool {
-	small := f.passBudget(e)
+func (f *Fleet) hopeless(now time.Time, wait *Wait, candidates []candidate, need int, s *Service, prompt Prompt) bool {
+	small := passBudget(s)
 	if prompt.Returned {
 		small = 0 // late in any case, so it takes only engines where it disturbs nobody
 	}
--- a/operator/routing.go
+++ b/operator/routing.go
@@ -101,6 +101,7 @@
 // NewTable checks a configuration and indexes it.
 func NewTable(spec RoutingSpec) (*Table, error) {
 	t := &Table{spec: spec, hosts: map[string][]*Route{}, keys: map[string]*Customer{}, byName: map[string]*endpoint.Service{}}
+	spec.Services = slices.Clone(spec.Services) // the table adds to them
 	for i := range spec.Services {
 		t.byName[spec.Services[i].Name] = &spec.Services[i]
 	}
@@ -112,6 +113,11 @@
 		case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 			return nil, errors.Errorf("route %q: the path prefix %q does not begin and end with a slash", r.Name, r.Prefix)
 		}
+		for _, split := range r.Splits {
+			if s := t.byName[split.Service]; s != nil && r.Pause > 0 && (s.Pause == 0 || r.Pause < s.Pause) {
+				s.Pause = r.Pause
+			}
+		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
--- a/operator/routing_test.go
+++ b/operator/routing_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"goldcrestpath/customer"
+	"goldcrestpath/endpoint"
 	"goldcrestpath/operator"
 )
 
@@ -41,6 +43,24 @@
 	}
 }
 
+// Guards against engines that pause streams by the bound of another service's routes.
+func TestServicePause(t *testing.T) {
+	route := func(pause time.Duration, service string) operator.Route {
+		return operator.Route{Name: "r", Prefix: "/", Pause: pause, Splits: []operator.Split{{Service: service, Weight: 1}}}
+	}
+	tab := table(t, operator.RoutingSpec{
+		Routes:   []operator.Route{route(600*time.Millisecond, "a"), route(400*time.Millisecond, "a"), route(time.Second, "b"), route(0, "c")},
+		Services: []endpoint.Service{{Name: "a"}, {Name: "b"}, {Name: "c"}},
+	})
+	got := map[string]time.Duration{}
+	for name, s := range tab.Services() {
+		got[name] = s.Pause
+	}
+	if diff := cmp.Diff(map[string]time.Duration{"a": 400 * time.Millisecond, "b": time.Second, "c": 0}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against weights that are not followed, at both ends too.
 func TestRoutePick(t *testing.T) {
 	r := operator.Route{Splits: []operator.Split{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
