--- a/endpoint/fleet.go
+++ b/endpoint/fleet.go
@@ -43,7 +43,7 @@
 	allowance allowance
 	coldUntil time.Time
 	suspect   time.Time // until when it is passed over because it refused to help
-	accused   bool      // this VM found so
+	reported  bool      // this VM found so
 	goneAt    time.Time // when a lapsed entry counts as gone, zero while the entry stands
 }
 
--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -142,6 +142,25 @@
 	}
 }
 
+// Guards against a placement without engines: all engines together have the memory, but not as many as may read one prompt.
+func TestPromptBeyondTheMemoryOfItsEngines(t *testing.T) {
+	f := newFleet(20)
+	for i := range 20 {
+		var others []string
+		for k := range 20 {
+			if k != i {
+				others = append(others, engineEntry(k).ID)
+			}
+		}
+		p := place(t, f, start, endpoint.Prompt{Tokens: 1_000, Output: 279_000, Aim: time.Second, Pause: time.Second}, others...)
+		p.Begun()
+	}
+	huge := endpoint.Prompt{Tokens: 550_000, Output: 800, Aim: 3 * time.Second, Pause: time.Second, Limit: 15 * time.Second, Waited: 14 * time.Second}
+	if _, refusal := f.PlaceGeneration(start, model, huge, nil); refusal == nil || refusal.Verdict() != customer.NotRun {
+		t.Errorf("refusal = %v, want one that says that the prompt did not run", refusal)
+	}
+}
+
 // Pattern: the largest of the short prompts on a busy fleet. Guards against refusing a prompt that is a little longer than one
 // pass may read (23,840 tokens on the grown site, refused 20 times in trouble-3).
 func TestLargestShortPromptIsServed(t *testing.T) {
@@ -356,7 +375,7 @@
 	for _, h := range p.Helpers() {
 		leaving = h
 	}
-	p.Blame(start, leaving.Address)
+	p.ReportRefusal(start, leaving.Address)
 	p.End(start, endpoint.Refused)
 	b.MergeSuspects(a.Suspects(start))
 	for name, f := range map[string]*endpoint.Fleet{"the VM": a, "its peer": b} {
--- a/endpoint/suspect.go
+++ b/endpoint/suspect.go
@@ -17,7 +17,7 @@
 	defer f.mu.Unlock()
 	var suspects []Suspect
 	for key, m := range f.byKey {
-		if m.accused && now.Before(m.suspect) {
+		if m.reported && now.Before(m.suspect) {
 			suspects = append(suspects, Suspect{Endpoint: key, Until: m.suspect})
 		}
 	}
