--- a/endpoint/divide.go
+++ b/endpoint/divide.go
@@ -140,7 +140,7 @@
 
 // infeasible says whether a prompt that has just arrived cannot start in time, or soon enough where its caller came back: what
 // goes before it and what is being read takes too long on the engines that long prompts may use. Such a prompt is refused at
-// once. All others are served, if late.
+// once, so that its caller does not wait for nothing.
 func (f *Fleet) infeasible(now time.Time, wait *Wait, candidates []candidate, need int, s *Service, prompt Prompt) bool {
 	small := passBudget(s)
 	if prompt.Returned {
--- a/soak/check.go
+++ b/soak/check.go
@@ -125,23 +125,17 @@
 
 // exchange returns the status, 0 for a broken connection, the body, the ID in the answer and whether the answer is whole.
 func (c *checker) exchange(client *http.Client, v *vm, path, id, key, body string) (int, string, string, bool) {
-	method := http.MethodPost
-	req, err := http.NewRequest(method, "http://"+c.s.callers(v)+"/"+path+"/1", strings.NewReader(body))
+	req, err := platformtest.NewRequest(c.s.callers(v), host, "/"+path+"/1", id, key, body)
 	if err != nil {
 		panic(err) // the parts are the soak's own
 	}
-	req.Host = host
-	req.GetBody = nil // the client never repeats a request on its own
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Deadline-Remaining", "3000")
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", "", false
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(data), resp.Header.Get("Attempt-Id"), err == nil
+	return resp.StatusCode, string(data), platformtest.AnswerID(resp), err == nil
 }
 
 func wholeStream() string {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -97,14 +97,12 @@
 func (s *site) drain(e *instance, on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := "ready"
 	e.draining = time.Time{}
 	if on {
-		state = "draining"
 		e.draining = time.Now()
 	}
-	s.store.Put(topicEndpoints, e.ID, e.Entry(e.proxy.Listen, state))
-	s.timeline.add("%s is %s", e.ID, state)
+	s.store.PublishEndpoint(e.Endpoint, e.proxy.Listen, on)
+	s.timeline.add("%s drains: %v", e.ID, on)
 }
 
 // change adds a route.
--- a/soak/site.go
+++ b/soak/site.go
@@ -19,12 +19,6 @@
 	"goldcrestpath/platform/platformtest"
 )
 
-// Topics and keys of the platform that the soak writes.
-const (
-	topicOperator  = "keyed.op"
-	topicEndpoints = "keyed.servers"
-)
-
 const (
 	service   = "desk"
 	host      = "soak.test"
@@ -111,7 +105,7 @@
 		}
 		in := &instance{Endpoint: e, proxy: p}
 		s.endpoints = append(s.endpoints, in)
-		s.store.Put(topicEndpoints, in.ID, in.Entry(p.Listen, "ready"))
+		s.store.PublishEndpoint(in.Endpoint, p.Listen, false)
 	}
 	s.publish()
 	ports := 20000 + int(cfg.Seed%20000)
@@ -138,7 +132,7 @@
 
 func (s *site) ready(v *vm) bool {
 	client := http.Client{Timeout: 500 * time.Millisecond}
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d/readiness", v.ip, 20001+int(s.cfg.Seed%20000)))
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", v.ip, 20001+int(s.cfg.Seed%20000), platformtest.ReadyPath))
 	if err != nil {
 		return false
 	}
@@ -174,27 +168,19 @@
 // publish writes a new version of the configuration.
 func (s *site) publish() {
 	s.version += 1 + s.random.IntN(5)
-	route := func(name, kind, more string) string {
-		return fmt.Sprintf(`{"name":"%s","host":"%s","pathPrefix":"/%s/","kind":"%s","timeoutMs":3000,"latencyGoalMs":200,"attempts":2,"service":"%s"%s}`,
-			name, host, name, kind, service, more)
+	c := platformtest.Configuration{
+		Version: s.version, Host: host, Service: service, Customers: map[string][]string{},
+		Routes: []platformtest.Route{{Name: "read", Idempotent: true}, {Name: "book"}, {Name: "stream", Stream: true}},
 	}
-	routes := route("read", "safe", "") + "," + route("book", "unsafe", "") + "," + route("stream", "streaming", `,"resumable":true,"gapTargetMs":200`)
 	for i := range s.routes {
-		routes += "," + route(fmt.Sprint("r", i), "safe", "")
+		c.Routes = append(c.Routes, platformtest.Route{Name: fmt.Sprint("r", i), Idempotent: true})
 	}
-	tenants := ""
 	for i, key := range s.keys {
-		if _, gone := s.revoked[key]; gone {
-			continue
-		}
-		if tenants != "" {
-			tenants += ","
+		if _, gone := s.revoked[key]; !gone {
+			c.Customers[fmt.Sprint("team-", i)] = []string{key}
 		}
-		tenants += fmt.Sprintf(`{"name":"team-%d","apiKeys":["%s"]}`, i, key)
 	}
-	s.store.Put(topicOperator, "config", fmt.Appendf(nil,
-		`{"version":%d,"routes":[%s],"services":[{"name":"%s"}],"limits":{"headerBytes":16384,"bodyBytes":65536,"idleTimeoutMs":15000},"tenants":[%s]}`,
-		s.version, routes, service, tenants))
+	s.store.PublishConfiguration(c)
 	s.timeline.add("configuration %d: %d further routes, %d keys revoked", s.version, s.routes, len(s.revoked))
 }
 
