forward, gateway: Refuse where no memory can be reserved; log changes of readiness

Cause: found while reading the change. A handler without a reserver followed a nil pointer for a prompt of several engines; TestNoReserver fails without the change. What a refusal says of another engine is taken over beside the judgement, not in the log.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -187,7 +187,6 @@
 	}
 	if head.AtFault != "" {
 		fields["atFault"] = head.AtFault
-		p.ReportRefusal(time.Now(), head.AtFault)
 	}
 	q.log().WithFields(fields).Info("forward: sent")
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -109,7 +109,10 @@
 }
 
 // setTable puts a table in force with a route for each kind of request.
-func (s *site) setTable(version int64, keys ...string) {
+func (s *site) setTable(version int64, keys ...string) { s.setTableWith(version, nil, keys...) }
+
+// setTableWith is like setTable for a service with an engine model.
+func (s *site) setTableWith(version int64, engine *endpoint.Engine, keys ...string) {
 	route := func(name string, kind operator.RouteKind, attempts int) operator.Route {
 		return operator.Route{
 			Name: name, Host: "site.test", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, Aim: 200 * time.Millisecond,
@@ -122,7 +125,7 @@
 			route("read", operator.Idempotent, 2), route("book", operator.AtMostOnce, 2), route("stream", operator.ResumableStream, 2),
 			route("once", operator.Stream, 2),
 		},
-		Services:  []endpoint.Service{{Name: "desk"}},
+		Services:  []endpoint.Service{{Name: "desk", Engine: engine}},
 		Customers: []operator.Customer{{Name: "team", Keys: keys}}, NeedsKey: len(keys) > 0,
 		Limits: operator.CallerLimits{HeaderBytes: 2000, BodyBytes: 5000},
 	})
@@ -466,6 +469,21 @@
 	}
 }
 
+// Guards against a crash where a prompt needs several engines' memory and the gateway cannot reserve it.
+func TestNoReserver(t *testing.T) {
+	s := newSite(t)
+	engine := &endpoint.Engine{Slots: 4, Memory: 600, ReadRate: 1e6, Stride: 1}
+	s.fleet.SetServices(map[string]*endpoint.Service{"desk": {Name: "desk", Engine: engine}})
+	s.setTableWith(3, engine)
+	for i := range 4 {
+		s.fleet.Put(time.Now(), endpoint.Entry{ID: fmt.Sprint("m", i), Service: "desk", Address: "127.0.0.1:1", DataCentre: "dc", Slots: 4}, 0)
+	}
+	got, err := s.do("POST", "/stream/1", "prompt")
+	if err != nil || got.Status != http.StatusServiceUnavailable {
+		t.Errorf("%+v, %v, want 503", got, err)
+	}
+}
+
 // Guards against a failed request whose cause cannot be found from its ID: the log lines name the endpoints, the failure and
 // the verdict.
 func TestFailureCanBeTraced(t *testing.T) {
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"goldcrestpath/endpoint"
@@ -31,6 +32,9 @@
 	done    sync.WaitGroup
 }
 
+// errNoReserver is the failure of a prompt that needs several engines' memory where none can be reserved.
+var errNoReserver = errors.New("this gateway cannot reserve memory")
+
 // reserve sets the memory of a placement aside at all of its engines, or at none.
 func (q *request) reserve(ctx context.Context, p *endpoint.Placement) (*reservation, error) {
 	r := &reservation{q: q, id: q.call.ID + "-" + p.Number()}
@@ -42,6 +46,9 @@
 	if len(r.targets) == 0 {
 		return nil, nil
 	}
+	if q.h.reserver == nil {
+		return nil, errNoReserver
+	}
 	renewCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	r.stop = cancel
 	g, gctx := errgroup.WithContext(ctx)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -212,6 +212,9 @@
 			}
 		}
 		failure, outcome = q.judge(ctx, head, sendErr, false)
+		if head.AtFault != "" {
+			p.ReportRefusal(time.Now(), head.AtFault)
+		}
 		if failure == nil && body == nil {
 			body = []byte{}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 	idle      *idleConns
 	internal  []*http.Server
 	stopping  atomic.Bool
+	unready   atomic.Pointer[string] // the last reason told to the load balancer
 	cancel    context.CancelFunc
 	goroutine sync.WaitGroup
 
@@ -278,12 +279,32 @@
 	return old != e
 }
 
+// serveReady answers the load balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.handler.Table() == nil || !g.feed.loaded() || g.fleet.Len() == 0 || g.fleet.Isolated() {
+	reason := g.notReady()
+	if old := g.unready.Swap(&reason); old == nil || *old != reason {
+		g.logger.WithFields(log.Fields{"ready": reason == "", "reason": reason}).Info("gateway: readiness changed")
+	}
+	if reason != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// notReady returns why the VM takes no callers, or "".
+func (g *Gateway) notReady() string {
+	switch {
+	case g.stopping.Load():
+		return "stopping"
+	case g.handler.Table() == nil:
+		return "no configuration"
+	case !g.feed.loaded() || g.fleet.Len() == 0:
+		return "no endpoints known"
+	case g.fleet.Isolated():
+		return "no endpoint can be reached"
+	}
+	return ""
+}
+
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
