--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -174,7 +174,7 @@
 			chosen = f.firstFit(candidates, read, need, s)
 		}
 	}
-	if chosen == nil && read <= longPart {
+	if chosen == nil && read <= longPart && need <= s.Engine.Memory {
 		return nil, f.refuseLocked(now, service, len(candidates))
 	}
 	if chosen == nil {
--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -142,6 +142,19 @@
 	}
 }
 
+// Pattern: engines with little memory that read fast. Guards against a prompt of several engines' memory that waits for a place
+// on one engine, which never comes.
+func TestShortReadOfSeveralEnginesMemory(t *testing.T) {
+	f := newFleet(4)
+	e := testEngine()
+	e.Memory = 4_000
+	f.SetServices(map[string]*endpoint.Service{model: {Name: model, Engine: e}})
+	p := place(t, f, start, endpoint.Prompt{Tokens: 5_000, Output: 100, Aim: time.Second, Pause: time.Second, Waited: 400 * time.Millisecond, Limit: 10 * time.Second})
+	if len(p.Helpers()) == 0 || p.Helpers()[0].Memory == 0 {
+		t.Errorf("helpers = %+v, want one that stores a part", p.Helpers())
+	}
+}
+
 // Guards against a placement without engines: all engines together have the memory, but not as many as may read one prompt.
 func TestPromptBeyondTheMemoryOfItsEngines(t *testing.T) {
 	f := newFleet(20)
