--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -18,7 +18,7 @@
 
 // Timers of the feed. Changes have to be in force within two seconds of the store's acknowledgement.
 const (
-	// StaleAfter is how old the confirmation of a copy may be before this VM reads the store itself.
+	// staleAfter is how old the confirmation of a copy may be before this VM reads the store itself.
 	staleAfter = 1100 * time.Millisecond
 	// staggerBy keeps VMs apart that notice at the same time that nobody reads.
 	staggerBy = 120 * time.Millisecond
@@ -30,7 +30,7 @@
 	// the records on to all others.
 	retryFirst   = 250 * time.Millisecond
 	retryLongest = 2 * time.Second
-	// retryPerVM lengthens that on large deployments, so that all VMs together ask a store that is out about 30 times a second.
+	// retryPerVM lengthens that on large deployments, so that all VMs together ask a store that is out about 60 times a second.
 	retryPerVM = 60 * time.Millisecond
 	// awayAfter is how long no VM has confirmed a copy before the store counts as having been away.
 	awayAfter = 2 * time.Second
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -4,6 +4,6 @@
 // times a second. A datagram holds complete values, never differences, so a lost one is repaired by the next. VMs find each
 // other through records in the platform's store and through the addresses that heartbeats carry.
 //
-// One VM, the reader, reads the platform's topics and passes new records on. A VM that has not heard from a reader for
-// [StaleAfter] reads the store itself, and a VM that the store turns away takes the records of any peer.
+// The exchange also carries records of the platform's topics from the VM that reads them to the others, and the addresses of
+// engines that refused to help. What to do with records is up to a [Receiver].
 package peer
