--- a/endpoint/place.go
+++ b/endpoint/place.go
@@ -28,6 +28,16 @@
 	jitter = 2 * time.Millisecond
 )
 
+// Bounds of calls to plain services. Their score is the part of an endpoint's places that is taken.
+const (
+	// callQueue is how many times its places an endpoint may have in calls. Instances queue a few beyond their places.
+	callQueue = 2
+	// callFailures is added to the score of an endpoint that fails every call, as if that many times its places were taken.
+	callFailures = 3
+	// callJitter is the largest random part of the score.
+	callJitter = 0.05
+)
+
 // Prompt is what placement needs of a request to a model engine.
 type Prompt struct {
 	Tokens int           // of the prompt
@@ -52,7 +62,6 @@
 type Placement struct {
 	f        *Fleet
 	number   uint64
-	service  string
 	first    *member
 	helpers  []*member
 	stored   []int // tokens that each helper stores
@@ -102,11 +111,12 @@
 			continue
 		}
 		l := m.load(now)
-		if l.running >= 2*max(m.entry.Slots, 1) {
-			full++ // its places and a queue of the same length are taken
+		places := max(m.entry.Slots, 1)
+		if l.running >= callQueue*places {
+			full++
 			continue
 		}
-		score := float64(l.running)/float64(max(m.entry.Slots, 1)) + 3*m.health.failures + 0.05*f.random()
+		score := float64(l.running)/float64(places) + callFailures*m.health.failures + callJitter*f.random()
 		if best == nil || score < bestScore {
 			best, bestScore, bestLoad = m, score, l
 		}
@@ -114,7 +124,7 @@
 	if best == nil {
 		return nil, f.refuseLocked(now, service, full)
 	}
-	p := f.placeLocked(service, best, s, now)
+	p := f.placeLocked(best, s, now)
 	p.running = bestLoad.running
 	f.addLocked(p, best, Work{Since: now, Writing: true})
 	return p, nil
@@ -194,7 +204,7 @@
 			first = c
 		}
 	}
-	p := f.placeLocked(s.Name, first.m, s, now)
+	p := f.placeLocked(first.m, s, now)
 	p.unread, p.running = first.load.busy, first.load.running
 	need := prompt.Tokens + prompt.Output
 	own := need
@@ -311,13 +321,13 @@
 	return candidates[best : best+1]
 }
 
-func (f *Fleet) placeLocked(service string, first *member, s *Service, now time.Time) *Placement {
+func (f *Fleet) placeLocked(first *member, s *Service, now time.Time) *Placement {
 	f.next++
 	first.health.trial = first.health.broken > 0
 	if f.isCold(first, s, now) {
 		first.allowance.take(now)
 	}
-	return &Placement{f: f, number: f.next, service: service, first: first}
+	return &Placement{f: f, number: f.next, first: first}
 }
 
 func (f *Fleet) isCold(m *member, s *Service, now time.Time) bool {
