--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -349,7 +349,9 @@
 	for i := 0; f.ctx.Err() == nil; i++ {
 		if !written {
 			err := f.store.Append(f.ctx, platform.VMs, f.self, []byte(time.Now().UTC().Format(time.RFC3339Nano)))
-			written = err == nil
+			if written = err == nil; !written && f.ctx.Err() == nil {
+				f.logger.WithError(err).Warn("feed: this VM's record cannot be written; it is tried again")
+			}
 		}
 		records, _, err := f.store.Newest(f.ctx, platform.VMs)
 		if err != nil {
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/google/go-cmp/cmp"
 
 	"goldcrestpath/endpoint"
@@ -312,6 +313,32 @@
 	}
 }
 
+// Guards against a store that refuses the VM's own record without a line in the log: its peers then cannot find the VM.
+func TestUnwrittenRecordIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newFakeStore()
+		s.down = true
+		lines := memory.New()
+		d := &deployment{feeds: map[string]*feed{}}
+		fd := newFeed(ctx, "vm-0", client{s, "vm-0"}, link{d: d, vm: "vm-0"}, &log.Logger{Handler: lines, Level: log.WarnLevel})
+		d.feeds["vm-0"] = fd
+		fd.start(link{d: d, vm: "vm-0"})
+		time.Sleep(500 * time.Millisecond)
+		cancel()
+		fd.done.Wait()
+		var got []any
+		for _, e := range lines.Entries {
+			if strings.Contains(e.Message, "record cannot be written") {
+				got = append(got, e.Fields["error"])
+			}
+		}
+		if diff := cmp.Diff([]any{errDown.Error()}, got); diff != "" {
+			t.Errorf("errors logged for the VM's own record (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // Guards against a log that blocks traffic or grows without bound.
 func TestBoundedOutput(t *testing.T) {
 	release := make(chan struct{})
