endpoint: A waiting prompt is no competitor of itself

Cause: a prompt may be read in parts of up to 1.5 s where no prompt waits. The check counted the prompt itself once it waited, so only prompts that had just arrived got longer parts.

--- a/endpoint/divide.go
+++ b/endpoint/divide.go
@@ -65,7 +65,7 @@
 	}
 	least := min(int((read+longPart-1)/longPart), most)
 	longest := longestPart
-	if len(f.waiters) == 0 && len(f.peerWaits) == 0 {
+	if !f.othersWaitLocked(&wait) {
 		longest = forcedPart
 	}
 	for n := least; n >= 1; n-- {
--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -214,6 +214,33 @@
 	place(t, f, now, longer)
 }
 
+// Pattern: one long prompt that waits while short streams take most engines. Guards against a prompt that counts itself among
+// those that wait: it is then never read in longer parts, although nothing else needs the engines.
+func TestWaitingPromptAloneIsRead(t *testing.T) {
+	f := newFleet(8)
+	place(t, f, start, longPrompt).Begun()
+	now := start.Add(10 * time.Millisecond)
+	short := endpoint.Work{Since: start, Writing: true, Pause: 250 * time.Millisecond}
+	var loads []endpoint.Load
+	for i := range 8 {
+		loads = append(loads, endpoint.Load{Endpoint: endpoint.KeyOf(engineEntry(i).ID), Works: []endpoint.Work{short}})
+	}
+	f.MergeLoads(now, "peer", loads)
+	prompt := longPrompt
+	prompt.Tokens = 100_000 // reads for 1.5 s
+	prompt.Waiter = f.NewWaiter(now, model, prompt)
+	for i := range 2 {
+		loads[i].Works = nil
+	}
+	now = start.Add(600 * time.Millisecond)
+	f.MergeLoads(now, "peer", loads)
+	prompt.Waited = now.Sub(start)
+	p := place(t, f, now, prompt)
+	if diff := cmp.Diff([]string{"e00", "e01"}, engines(p)); diff != "" {
+		t.Errorf("engines (-want +got):\n%s", diff)
+	}
+}
+
 // placeLater expects that the prompt waits, and enters it into the order.
 func placeLater(t *testing.T, f *endpoint.Fleet, now time.Time, p endpoint.Prompt) *endpoint.Waiter {
 	t.Helper()
--- a/endpoint/wait.go
+++ b/endpoint/wait.go
@@ -131,6 +131,24 @@
 	return preceded
 }
 
+// othersWaitLocked says whether any other prompt of the service waits.
+func (f *Fleet) othersWaitLocked(w *Wait) bool {
+	other := func(o *Wait) bool { return o.Service == w.Service && o.ID != w.ID }
+	for o := range f.waiters {
+		if other(&o.Wait) {
+			return true
+		}
+	}
+	for _, p := range f.peerWaits {
+		for i := range p.waits {
+			if other(&p.waits[i]) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // aheadLocked returns the time that the prompts take which go before w.
 func (f *Fleet) aheadLocked(w *Wait, now time.Time) time.Duration {
 	var sum time.Duration
