endpoint: Let a waiting prompt's length count for less as it gets urgent

Cause: shorter prompts always went first, so under a steady load the longest ones waited until they were late. Their answers are also worth more, in proportion to their size.

Change: waiting prompts are ordered by the time to read them, reduced by the part of their slack that is over. VMs tell each other the slack.

--- a/endpoint/place_test.go
+++ b/endpoint/place_test.go
@@ -214,6 +214,28 @@
 	place(t, f, now, longer)
 }
 
+// Pattern: a steady load of long prompts with a few very long ones. Guards against very long prompts that are never read because
+// shorter ones go first: shortly before its latest start, a prompt goes before a shorter one that has just come.
+func TestVeryLongPromptsAreNotStarved(t *testing.T) {
+	f := newFleet(8)
+	veryLong, shorter := longPrompt, longPrompt
+	veryLong.Tokens = 190_000
+	veryLong.Waiter = f.NewWaiter(start, model, veryLong)
+	for _, c := range []struct {
+		at    time.Duration
+		first bool // the very long prompt goes first
+	}{{200 * time.Millisecond, false}, {1800 * time.Millisecond, true}} {
+		now := start.Add(c.at)
+		veryLong.Waited = c.at
+		shorter.Waiter = f.NewWaiter(now, model, shorter)
+		_, refusal := f.PlaceGeneration(now, model, veryLong, nil)
+		if first := refusal == nil; first != c.first {
+			t.Errorf("after %v: the very long prompt goes first: %v, want %v", c.at, first, c.first)
+		}
+		shorter.Waiter.Leave()
+	}
+}
+
 // Pattern: one long prompt that waits while short streams take most engines. Guards against a prompt that counts itself among
 // those that wait: it is then never read in longer parts, although nothing else needs the engines.
 func TestWaitingPromptAloneIsRead(t *testing.T) {
--- a/endpoint/wait.go
+++ b/endpoint/wait.go
@@ -11,6 +11,7 @@
 	Service Key           // hash of the service's name
 	Read    time.Duration // time that one engine needs to read it
 	StartBy time.Time     // when it has to start to be in time
+	Slack   time.Duration // time from its arrival to StartBy
 	ID      uint64        // distinguishes prompts that are equal otherwise
 }
 
@@ -20,19 +21,29 @@
 	Wait
 }
 
-// before says whether w goes before o: prompts that can still be in time go first, and among them the shorter ones, because
-// each of them holds the engines up for less time. All VMs order what they know in the same way.
+// before says whether w goes before o. Prompts that can still be in time go first. Among them, the shorter ones go first, because
+// each of them holds the engines up for less time; the length counts for less as the latest start comes nearer, so that the
+// longest prompts are not starved by a steady load of shorter ones. All VMs order what they know in the same way.
 func (w *Wait) before(o *Wait, now time.Time) bool {
 	late, otherLate := now.After(w.StartBy), now.After(o.StartBy)
 	if late != otherLate {
 		return otherLate
 	}
-	if c := cmp.Compare(w.Read, o.Read); c != 0 {
+	if c := cmp.Compare(w.rank(now), o.rank(now)); c != 0 {
 		return c < 0
 	}
 	return w.ID < o.ID
 }
 
+// rank is the time to read the prompt, reduced by the part of its slack that is over.
+func (w *Wait) rank(now time.Time) time.Duration {
+	left := w.StartBy.Sub(now)
+	if left <= 0 || w.Slack <= 0 {
+		return w.Read
+	}
+	return time.Duration(float64(w.Read) * min(float64(left)/float64(w.Slack), 1))
+}
+
 // peerWaits is what a peer reported.
 type peerWaits struct {
 	waits []Wait
@@ -57,7 +68,8 @@
 		w.Read = s.Engine.ReadTime(p.Tokens)
 	}
 	engines := min(maxHelpers+1, max(len(f.pools[service]), 1))
-	w.StartBy = now.Add(p.Aim - p.Waited - w.Read/time.Duration(engines) - startReserve)
+	w.Slack = p.Aim - w.Read/time.Duration(engines) - startReserve
+	w.StartBy = now.Add(w.Slack - p.Waited)
 	return w
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -43,13 +43,17 @@
 	Service uint64
 	Read    int64 // microseconds
 	StartIn int64 // microseconds until it has to start
+	Slack   int64 // microseconds from its arrival to the latest start
 	ID      uint64
 }
 
 func encodeWaits(waits []endpoint.Wait, now time.Time) *[]wait {
 	out := make([]wait, len(waits))
 	for i, w := range waits {
-		out[i] = wait{Service: uint64(w.Service), Read: w.Read.Microseconds(), StartIn: w.StartBy.Sub(now).Microseconds(), ID: w.ID}
+		out[i] = wait{
+			Service: uint64(w.Service), Read: w.Read.Microseconds(), StartIn: w.StartBy.Sub(now).Microseconds(),
+			Slack: w.Slack.Microseconds(), ID: w.ID,
+		}
 	}
 	return &out
 }
@@ -59,7 +63,8 @@
 	for i, w := range waits {
 		out[i] = endpoint.Wait{
 			Service: endpoint.Key(w.Service), Read: time.Duration(w.Read) * time.Microsecond,
-			StartBy: now.Add(time.Duration(w.StartIn) * time.Microsecond), ID: w.ID,
+			StartBy: now.Add(time.Duration(w.StartIn) * time.Microsecond),
+			Slack:   time.Duration(w.Slack) * time.Microsecond, ID: w.ID,
 		}
 	}
 	return out
