gateway: Log the end of a lost store where a peer passes records on

On-call engineers could not see when a VM's state was current again.

TestReturnOfTheStoreIsLogged fails without it.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -36,6 +36,8 @@
 	awayAfter = 2 * time.Second
 	// lapseWindow is how long after the store's return entries count as lapsed and not as removed.
 	lapseWindow = 3 * time.Second
+	// fedAgain is how long the store has not failed this VM before records of a peer count as the end of that loss.
+	fedAgain = retryLongest
 	// fetchEvery is the shortest time between fetches of one topic from peers.
 	fetchEvery = 50 * time.Millisecond
 	// introduceEvery is the time between looks for VMs that this one does not know.
@@ -81,7 +83,8 @@
 
 	mu       sync.Mutex
 	exchange exchange
-	lost     bool // the store's last answer to this VM was an error
+	lost     bool      // the store's last answer to this VM was an error, and no peer has passed on records for long enough since
+	failed   time.Time // the store's last error
 }
 
 // topicCopy is the copy of one topic.
@@ -255,6 +258,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err != nil {
+		f.failed = time.Now()
+	}
 	switch {
 	case err != nil && !f.lost:
 		f.lost = true
@@ -268,6 +274,17 @@
 	}
 }
 
+// noteFed logs when records are current again by a peer, after this VM lost the store. A VM that still asks the store in vain
+// logs nothing, so that the two lines do not alternate.
+func (f *feed) noteFed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost && time.Since(f.failed) > fedAgain {
+		f.lost = false
+		f.logger.Info("feed: records are current again; a peer reads the store")
+	}
+}
+
 // Feed implements peer.Receiver.
 func (f *feed) Feed(topic uint8, from, upto int64, age time.Duration, records []oplog.Record) bool {
 	t := f.topics[platform.Topic(topic)]
@@ -283,6 +300,7 @@
 		t.loaded = true
 		t.mu.Unlock()
 		t.confirm(time.Now().Add(-age))
+		f.noteFed()
 	}
 	return false
 }
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/memory"
 	"github.com/google/go-cmp/cmp"
 
@@ -124,6 +123,7 @@
 	state map[string]map[string]string // applied values by VM and key
 	gone  map[string]map[string]bool   // removed keys by VM and whether they lapsed
 	cut   map[string]bool
+	lines map[string]*memory.Handler // log by VM
 }
 
 // link is one VM's exchange with the others.
@@ -169,11 +169,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		s := newFakeStore()
-		d := &deployment{feeds: map[string]*feed{}, state: map[string]map[string]string{}, gone: map[string]map[string]bool{}, cut: map[string]bool{}}
+		d := &deployment{feeds: map[string]*feed{}, state: map[string]map[string]string{}, gone: map[string]map[string]bool{}, cut: map[string]bool{}, lines: map[string]*memory.Handler{}}
 		for i := range n {
 			vm := fmt.Sprint("vm-", i)
 			l := link{d: d, vm: vm}
-			fd := newFeed(ctx, vm, client{s, vm}, l, &log.Logger{Handler: discard.New()})
+			d.lines[vm] = memory.New()
+			fd := newFeed(ctx, vm, client{s, vm}, l, &log.Logger{Handler: d.lines[vm], Level: log.InfoLevel})
 			d.state[vm], d.gone[vm] = map[string]string{}, map[string]bool{}
 			fd.apply = func(_ platform.Topic, changed []oplog.Record, lapsed bool) (needed []oplog.Record) {
 				d.mu.Lock()
@@ -299,7 +300,7 @@
 // Guards against an endpoint that peers never hear of again: the VM that reads for the others passed its entry on, learned of its
 // removal from another reader, and then took its return for no change (day store-out-while-endpoints-leave: 5 of 21 engines in use).
 func TestReturnedEndpointIsPassedOn(t *testing.T) {
-	g := &Gateway{fleet: endpoint.NewFleet(), logger: &log.Logger{Handler: discard.New()}, entries: map[string]endpoint.Entry{}}
+	g := &Gateway{fleet: endpoint.NewFleet(), logger: &log.Logger{Handler: memory.New()}, entries: map[string]endpoint.Entry{}}
 	entry := []byte(`{"service":"s","address":"10.0.0.9:80","zone":"a","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1}`)
 	beat := []byte(`{"service":"s","address":"10.0.0.9:80","zone":"a","slots":4,"state":"ready","coldRemainingMs":0,"sequence":2}`)
 	for i, c := range []struct {
@@ -313,6 +314,35 @@
 	}
 }
 
+// Guards against a lost store that the log never shows as regained: after an outage one VM reads the store for all.
+func TestReturnOfTheStoreIsLogged(t *testing.T) {
+	run(t, 5, func(s *fakeStore, d *deployment) {
+		setDown := func(down bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.down = down
+		}
+		setDown(true)
+		time.Sleep(8 * time.Second)
+		setDown(false)
+		time.Sleep(8 * time.Second)
+		synctest.Wait()
+		for vm, h := range d.lines {
+			var got []string
+			for _, e := range h.Entries {
+				if strings.HasPrefix(e.Message, "feed: the store is lost") {
+					got = append(got, "lost")
+				} else if e.Message == "feed: the store is back" || strings.HasPrefix(e.Message, "feed: records are current again") {
+					got = append(got, "regained")
+				}
+			}
+			if diff := cmp.Diff([]string{"lost", "regained"}, got); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", vm, diff)
+			}
+		}
+	})
+}
+
 // Guards against a store that refuses the VM's own record without a line in the log: its peers then cannot find the VM.
 func TestUnwrittenRecordIsLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
