gateway: Log and count how records reach a VM

The logs showed that a VM counted a configuration as applied that it had never received, but not which VM had told it so. Each range of offsets that a VM counts as applied is now logged with its sender, and fetches and reads of the store are counted. No change of behaviour.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"goldcrestpath/customer"
 	"goldcrestpath/oplog"
@@ -46,6 +47,9 @@
 	peerRecoveryDelay = retryMax
 	// fetchInterval is the minimum time between two fetches of one topic from peers.
 	fetchInterval = 50 * time.Millisecond
+	// fetchSamples and fetchSampleDecay are the size and the decay of the sample of fetch times, which favours the last minutes.
+	fetchSamples     = 100
+	fetchSampleDecay = 0.015
 	// discoveryInterval is the time between reads of the VMs' records, which show new VMs.
 	discoveryInterval = time.Minute
 )
@@ -88,6 +92,10 @@
 	ctx   context.Context
 	wg    sync.WaitGroup
 
+	storeReads, storeFailures metrics.Counter
+	fetches                   metrics.Histogram // milliseconds of fetches from peers that succeeded
+	fetchFailures             metrics.Counter
+
 	mu          sync.Mutex
 	exchange    exchange
 	storeLost   bool      // whether this VM's last request to the store failed and no peer has supplied records since; see recordPeerUpdate
@@ -110,12 +118,21 @@
 
 func newFeed(ctx context.Context, self string, store recordStore, fetcher fetcher, logger log.Interface) *feed {
 	f := &feed{self: self, store: store, fetcher: fetcher, logger: logger, ctx: ctx, topics: map[platform.Topic]*topicCopy{}}
+	f.register(metrics.NewRegistry())
 	for _, t := range []platform.Topic{platform.OperatorTopic, platform.EndpointTopic} {
 		f.topics[t] = &topicCopy{topic: t, replica: oplog.NewTopicReplica()}
 	}
 	return f
 }
 
+// register gets the feed's counters and timers from the registry.
+func (f *feed) register(r metrics.Registry) {
+	f.storeReads = metrics.GetOrRegisterCounter("feed.storeReads", r)
+	f.storeFailures = metrics.GetOrRegisterCounter("feed.storeFailures", r)
+	f.fetches = metrics.GetOrRegisterHistogram("feed.fetchMs", r, metrics.NewExpDecaySample(fetchSamples, fetchSampleDecay))
+	f.fetchFailures = metrics.GetOrRegisterCounter("feed.fetchFailures", r)
+}
+
 // start starts the goroutines that read the topics and discover other VMs.
 func (f *feed) start(x exchange) {
 	f.exchange = x
@@ -200,6 +217,10 @@
 	}
 	needed := f.applyRecords(t, records, end, false)
 	t.confirm(time.Now())
+	if end > from {
+		f.logger.WithFields(log.Fields{"topic": t.topic, "from": from, "upto": end, "read": len(records), "passedOn": len(needed)}).
+			Info("feed: records read from the store")
+	}
 	f.exchange.SendRecords(uint8(t.topic), from, end, 0, needed)
 	return nil
 }
@@ -212,6 +233,7 @@
 	}
 	from := t.replica.End()
 	f.applyRecords(t, records, end, true)
+	f.logger.WithFields(log.Fields{"topic": t.topic, "from": from, "upto": end, "read": len(records)}).Info("feed: all records read from the store")
 	t.mu.Lock()
 	t.loaded = true
 	t.mu.Unlock()
@@ -272,7 +294,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.storeReads.Inc(1)
 	if err != nil {
+		f.storeFailures.Inc(1)
 		f.lastFailure = time.Now()
 	}
 	switch {
@@ -300,15 +324,20 @@
 }
 
 // ReceiveRecords implements peer.Receiver. Records after a gap are not applied; the VM then fetches the missing ones.
-func (f *feed) ReceiveRecords(topic uint8, from, end int64, age time.Duration, records []oplog.TopicRecord) bool {
+func (f *feed) ReceiveRecords(peer string, topic uint8, from, end int64, age time.Duration, records []oplog.TopicRecord) bool {
 	t := f.topics[platform.Topic(topic)]
 	if t == nil {
 		return false // a topic introduced by a later version
 	}
-	if from > t.replica.End() {
+	old := t.replica.End()
+	if from > old {
 		return true
 	}
 	f.applyRecords(t, records, end, false)
+	if end > old && t.topic == platform.OperatorTopic {
+		f.logger.WithFields(log.Fields{"vm": peer, "topic": t.topic, "from": from, "upto": end, "records": len(records), "ageMs": age.Milliseconds()}).
+			Info("feed: records received from a peer")
+	}
 	if end >= t.replica.End() {
 		t.mu.Lock()
 		t.loaded = true
@@ -343,13 +372,18 @@
 
 // fetch requests the records that the copy lacks from a peer and applies them.
 func (f *feed) fetch(t *topicCopy, address string) {
-	records, end, age, err := f.fetcher.Fetch(f.ctx, address, uint8(t.topic), t.replica.End())
+	from, started := t.replica.End(), time.Now()
+	records, end, age, err := f.fetcher.Fetch(f.ctx, address, uint8(t.topic), from)
+	fields := log.Fields{"vm": address, "topic": t.topic, "from": from, "tookMs": time.Since(started).Milliseconds()}
 	if err != nil {
-		f.logger.WithError(err).WithField("vm", address).Warn("feed: records cannot be fetched from a peer")
+		f.fetchFailures.Inc(1)
+		f.logger.WithError(err).WithFields(fields).Warn("feed: records cannot be fetched from a peer")
 		return
 	}
-	f.logger.WithFields(log.Fields{"vm": address, "topic": t.topic, "records": len(records), "upto": end}).Info("feed: records fetched from a peer")
-	f.ReceiveRecords(uint8(t.topic), t.replica.End(), end, age, records)
+	f.fetches.Update(time.Since(started).Milliseconds())
+	fields["upto"], fields["records"] = end, len(records)
+	f.logger.WithFields(fields).Info("feed: records fetched from a peer")
+	f.ReceiveRecords(address, uint8(t.topic), from, end, age, records)
 }
 
 // recordsSince returns the records from an offset on, the offset up to which they are complete, and the time since the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	self := net.JoinHostPort(s.PeerAddress(), strconv.Itoa(s.PeerPort()))
 	g.feed = newFeed(ctx, self, platform.NewStore(s.StoreAddress()), peer.NewFetcher(), g.logger)
 	g.feed.apply = g.apply
+	g.feed.register(g.registry)
 	if err := g.listen(self); err != nil {
 		cancel()
 		g.logOutput.Close()
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -31,7 +31,7 @@
 	missingFrom []string
 }
 
-func (r *receiver) ReceiveRecords(_ uint8, from, end int64, _ time.Duration, records []oplog.TopicRecord) bool {
+func (r *receiver) ReceiveRecords(_ string, _ uint8, from, end int64, _ time.Duration, records []oplog.TopicRecord) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if from > r.end {
