gateway: Pass on records of a range that this VM already held

Cause: a message with records states that they are complete from one offset up to another. A VM that read a range from the store left out the records that it had got from another VM meanwhile, because only records that were new to itself counted as needed by peers. When two VMs read the store at the same time, the second one therefore sent the range of a new configuration without the configuration. VMs that were still fetching it counted the range as complete, and if their fetch failed, never asked again.

A record is now left out only if this VM has applied it in this range and it repeated what its predecessor said.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -245,7 +245,8 @@
 }
 
 // applyRecords applies records to the copy and returns those that peers need. If complete is set, the records replace
-// the copy.
+// the copy. A record is left out only if it was applied here and changed nothing. One that the copy held already is
+// returned, because peers count the range as complete and may lack that record.
 func (f *feed) applyRecords(t *topicCopy, records []oplog.TopicRecord, end int64, complete bool) []oplog.TopicRecord {
 	t.applyMu.Lock()
 	defer t.applyMu.Unlock()
@@ -256,9 +257,16 @@
 		changed = t.replica.Apply(records, end)
 	}
 	if len(changed) == 0 {
-		return nil
+		return records
 	}
-	return f.apply(t.topic, changed, t.mayHaveLapsed(time.Now()))
+	unneeded := map[int64]bool{}
+	for _, rec := range changed {
+		unneeded[rec.Offset] = true
+	}
+	for _, rec := range f.apply(t.topic, changed, t.mayHaveLapsed(time.Now())) {
+		delete(unneeded, rec.Offset)
+	}
+	return slices.DeleteFunc(slices.Clone(records), func(rec oplog.TopicRecord) bool { return unneeded[rec.Offset] })
 }
 
 // confirm records that the store had nothing newer than the copy at the given time.
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -29,6 +29,8 @@
 	calls   int   // requests so far
 	down    bool
 	denied  map[string]bool // VMs that get errors
+
+	beforeAnswer func(vm string) // called before a read returns records
 }
 
 func newFakeStore() *fakeStore {
@@ -99,7 +101,11 @@
 		if len(records) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil {
 			c.s.mu.Lock()
 			c.s.calls++
+			hook := c.s.beforeAnswer
 			c.s.mu.Unlock()
+			if hook != nil && len(records) > 0 {
+				hook(c.vm)
+			}
 			return records, end, nil
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -125,6 +131,8 @@
 	state       map[string]map[string]string // applied values by VM and key
 	removed     map[string]map[string]bool   // removed keys by VM, and whether they counted as lapsed
 	partitioned map[string]bool              // VMs without a connection to the others
+	fetchOnly   bool                         // records are too large for datagrams, so peers have to fetch them
+	noFetch     map[string]bool              // VMs whose fetches fail
 	logs        map[string]*memory.Handler   // log lines by VM
 }
 
@@ -150,15 +158,21 @@
 func (peerLink) AddPeers([]string) {}
 
 func (l peerLink) SendRecords(topic uint8, from, end int64, age time.Duration, records []oplog.TopicRecord) {
+	if l.d.fetchOnly && len(records) > 0 {
+		from, records = end, nil
+	}
 	for _, vm := range l.Alive() {
-		if vm != l.vm && l.d.feeds[vm].ReceiveRecords(topic, from, end, age, records) {
+		if vm != l.vm && l.d.feeds[vm].ReceiveRecords(l.vm, topic, from, end, age, records) {
 			l.d.feeds[vm].RecordsMissing(topic, l.vm)
 		}
 	}
 }
 
 func (l peerLink) Fetch(_ context.Context, vm string, topic uint8, from int64) ([]oplog.TopicRecord, int64, time.Duration, error) {
-	if !slices.Contains(l.Alive(), vm) {
+	l.d.mu.Lock()
+	denied := l.d.noFetch[l.vm]
+	l.d.mu.Unlock()
+	if denied || !slices.Contains(l.Alive(), vm) {
 		return nil, 0, 0, fmt.Errorf("%s does not answer", vm)
 	}
 	records, end, age := l.d.feeds[vm].recordsSince(topic, from)
@@ -171,7 +185,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		s := newFakeStore()
-		d := &deployment{feeds: map[string]*feed{}, state: map[string]map[string]string{}, removed: map[string]map[string]bool{}, partitioned: map[string]bool{}, logs: map[string]*memory.Handler{}}
+		d := &deployment{feeds: map[string]*feed{}, state: map[string]map[string]string{}, removed: map[string]map[string]bool{}, partitioned: map[string]bool{}, noFetch: map[string]bool{}, logs: map[string]*memory.Handler{}}
 		for i := range n {
 			vm := fmt.Sprint("vm-", i)
 			l := peerLink{d: d, vm: vm}
@@ -270,6 +284,44 @@
 	}
 }
 
+// TestTwoReadersLoseNoRecord guards against a VM that counts a record as applied which it has never received. Two VMs read
+// the same record from the store; the one that already has it from the other must not pass on its range as if nothing were
+// in it, because a VM whose first fetch fails would then never ask for the record again.
+func TestTwoReadersLoseNoRecord(t *testing.T) {
+	for _, topic := range []platform.Topic{platform.OperatorTopic, platform.EndpointTopic} {
+		runFeeds(t, 4, func(s *fakeStore, d *deployment) {
+			d.mu.Lock()
+			d.fetchOnly, d.noFetch["vm-3"] = true, true
+			d.mu.Unlock()
+			s.mu.Lock()
+			s.beforeAnswer = func(vm string) {
+				if vm != "vm-0" {
+					return
+				}
+				if err := d.feeds["vm-1"].readStore(d.feeds["vm-1"].topics[topic]); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(10 * time.Millisecond) // vm-0 gets the record from vm-1 before the store's answer arrives
+			}
+			s.mu.Unlock()
+			s.write(topic, "k", "1")
+			time.Sleep(800 * time.Millisecond)
+			d.mu.Lock()
+			delete(d.noFetch, "vm-3")
+			d.mu.Unlock()
+			time.Sleep(1200 * time.Millisecond)
+			want := map[string]string{"vm-0": "1", "vm-1": "1", "vm-2": "1", "vm-3": "1"}
+			got := map[string]string{}
+			for vm := range d.feeds {
+				got[vm] = d.value(vm, "k")
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("topic %d: values two seconds after the change (-want +got):\n%s", topic, diff)
+			}
+		})
+	}
+}
+
 // TestLapsedOnlyAfterTheStoreWasAway guards against two faults. In the first, a VM that alone could not reach the store
 // takes a removed endpoint for a lapsed one and continues to use it, as it did for 2.2 s on the randomized day scale-2 with
 // seed 455178435752. In the second, a VM drops endpoints whose entries only lapsed during an outage of the store.
