gateway, peer: Send large records through a tree of VMs, compressed

Cause: every VM fetched a large record from the one VM that reads the store. 58 copies shared its link of 20 Mbit/s, so fetches ended by their time limit of 0.8 s, what had arrived was discarded, and all began anew at the same moment; the reader's heartbeats were late meanwhile, so other VMs took it for dead and read the store themselves.

Records that are too large for a datagram are now fetched over a tree of the live VMs with a fan-out of 8, compressed; a VM that lacks announced records holds a peer's fetch for up to 0.4 s. A VM whose source fails asks the announcer and then the store at once. A VM without a complete copy answers 503 instead of an empty range.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -66,7 +66,7 @@
 
 // fetcher requests records from peers.
 type fetcher interface {
-	Fetch(ctx context.Context, peer string, topic uint8, from int64) ([]oplog.TopicRecord, int64, time.Duration, error)
+	Fetch(ctx context.Context, peer string, topic uint8, from, upTo int64) ([]oplog.TopicRecord, int64, time.Duration, error)
 }
 
 var _ fetcher = (*peer.Fetcher)(nil)
@@ -93,7 +93,7 @@
 	wg    sync.WaitGroup
 
 	storeReads, storeFailures metrics.Counter
-	fetches                   metrics.Histogram // milliseconds of fetches from peers that succeeded
+	fetchTime                 metrics.Histogram // milliseconds of fetches from peers that succeeded
 	fetchFailures             metrics.Counter
 
 	mu          sync.Mutex
@@ -108,19 +108,22 @@
 	replica      *oplog.TopicReplica
 	applyMu      sync.Mutex // serializes the application of records
 	mu           sync.Mutex
-	loaded       bool      // whether the copy has been complete at least once
-	confirmedAt  time.Time // when any VM last saw that the store had nothing newer than the copy
-	recoveredAt  time.Time // when the first confirmation after an outage arrived
-	lastRead     time.Time // last read of the store
-	fetchRunning bool      // whether a fetch from a peer is running
-	lastFetch    time.Time // start of the last fetch from a peer
+	loaded       bool          // whether the copy has been complete at least once
+	confirmedAt  time.Time     // when any VM last saw that the store had nothing newer than the copy
+	recoveredAt  time.Time     // when the first confirmation after an outage arrived
+	lastRead     time.Time     // last read of the store
+	extended     chan struct{} // closed and replaced when the copy is extended
+	announcer    string        // VM that announced announcedEnd
+	announcedEnd int64         // highest end of the topic that a peer announced and this VM lacked
+	fetchRunning bool          // whether records are fetched from peers
+	lastFetch    time.Time     // start of the last fetch
 }
 
 func newFeed(ctx context.Context, self string, store recordStore, fetcher fetcher, logger log.Interface) *feed {
 	f := &feed{self: self, store: store, fetcher: fetcher, logger: logger, ctx: ctx, topics: map[platform.Topic]*topicCopy{}}
 	f.register(metrics.NewRegistry())
 	for _, t := range []platform.Topic{platform.OperatorTopic, platform.EndpointTopic} {
-		f.topics[t] = &topicCopy{topic: t, replica: oplog.NewTopicReplica()}
+		f.topics[t] = &topicCopy{topic: t, replica: oplog.NewTopicReplica(), extended: make(chan struct{})}
 	}
 	return f
 }
@@ -129,10 +132,13 @@
 func (f *feed) register(r metrics.Registry) {
 	f.storeReads = metrics.GetOrRegisterCounter("feed.storeReads", r)
 	f.storeFailures = metrics.GetOrRegisterCounter("feed.storeFailures", r)
-	f.fetches = metrics.GetOrRegisterHistogram("feed.fetchMs", r, metrics.NewExpDecaySample(fetchSamples, fetchSampleDecay))
+	f.fetchTime = metrics.GetOrRegisterHistogram("feed.fetchMs", r, metrics.NewExpDecaySample(fetchSamples, fetchSampleDecay))
 	f.fetchFailures = metrics.GetOrRegisterCounter("feed.fetchFailures", r)
 }
 
+// topic returns the copy of a topic as numbered in messages between VMs, or nil for a topic introduced by a later version.
+func (f *feed) topic(topic uint8) *topicCopy { return f.topics[platform.Topic(topic)] }
+
 // start starts the goroutines that read the topics and discover other VMs.
 func (f *feed) start(x exchange) {
 	f.exchange = x
@@ -250,6 +256,9 @@
 func (f *feed) applyRecords(t *topicCopy, records []oplog.TopicRecord, end int64, complete bool) []oplog.TopicRecord {
 	t.applyMu.Lock()
 	defer t.applyMu.Unlock()
+	if end > t.replica.End() {
+		defer t.notifyExtended()
+	}
 	var changed []oplog.TopicRecord
 	if complete {
 		changed = t.replica.Reset(records, end)
@@ -269,6 +278,14 @@
 	return slices.DeleteFunc(slices.Clone(records), func(rec oplog.TopicRecord) bool { return unneeded[rec.Offset] })
 }
 
+// notifyExtended wakes the peers' fetches that wait for records.
+func (t *topicCopy) notifyExtended() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.extended)
+	t.extended = make(chan struct{})
+}
+
 // confirm records that the store had nothing newer than the copy at the given time.
 func (t *topicCopy) confirm(at time.Time) {
 	t.mu.Lock()
@@ -333,7 +350,7 @@
 
 // ReceiveRecords implements peer.Receiver. Records after a gap are not applied; the VM then fetches the missing ones.
 func (f *feed) ReceiveRecords(peer string, topic uint8, from, end int64, age time.Duration, records []oplog.TopicRecord) bool {
-	t := f.topics[platform.Topic(topic)]
+	t := f.topic(topic)
 	if t == nil {
 		return false // a topic introduced by a later version
 	}
@@ -356,57 +373,6 @@
 	return false
 }
 
-// RecordsMissing implements peer.Receiver. It fetches the missing records unless a fetch of the topic is running or was
-// started within fetchInterval.
-func (f *feed) RecordsMissing(topic uint8, address string) {
-	t := f.topics[platform.Topic(topic)]
-	t.mu.Lock()
-	now := time.Now()
-	if t.fetchRunning || now.Sub(t.lastFetch) < fetchInterval {
-		t.mu.Unlock()
-		return
-	}
-	t.fetchRunning, t.lastFetch = true, now
-	t.mu.Unlock()
-	f.wg.Add(1)
-	go func() {
-		defer f.wg.Done()
-		f.fetch(t, address)
-		t.mu.Lock()
-		t.fetchRunning = false
-		t.mu.Unlock()
-	}()
-}
-
-// fetch requests the records that the copy lacks from a peer and applies them.
-func (f *feed) fetch(t *topicCopy, address string) {
-	from, started := t.replica.End(), time.Now()
-	records, end, age, err := f.fetcher.Fetch(f.ctx, address, uint8(t.topic), from)
-	fields := log.Fields{"vm": address, "topic": t.topic, "from": from, "tookMs": time.Since(started).Milliseconds()}
-	if err != nil {
-		f.fetchFailures.Inc(1)
-		f.logger.WithError(err).WithFields(fields).Warn("feed: records cannot be fetched from a peer")
-		return
-	}
-	f.fetches.Update(time.Since(started).Milliseconds())
-	fields["upto"], fields["records"] = end, len(records)
-	f.logger.WithFields(fields).Info("feed: records fetched from a peer")
-	f.ReceiveRecords(address, uint8(t.topic), from, end, age, records)
-}
-
-// recordsSince returns the records from an offset on, the offset up to which they are complete, and the time since the
-// copy was last confirmed. It serves peers' fetches.
-func (f *feed) recordsSince(topic uint8, from int64) ([]oplog.TopicRecord, int64, time.Duration) {
-	t := f.topics[platform.Topic(topic)]
-	if t == nil {
-		return nil, 0, 0
-	}
-	records, end := t.replica.Since(from)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return records, end, time.Since(t.confirmedAt)
-}
-
 // loaded reports whether every copy has been complete at least once.
 func (f *feed) loaded() bool {
 	for _, t := range f.topics {
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -163,24 +163,33 @@
 	}
 	for _, vm := range l.Alive() {
 		if vm != l.vm && l.d.feeds[vm].ReceiveRecords(l.vm, topic, from, end, age, records) {
-			l.d.feeds[vm].RecordsMissing(topic, l.vm)
+			l.d.feeds[vm].RecordsMissing(topic, l.vm, end)
 		}
 	}
 }
 
-func (l peerLink) Fetch(_ context.Context, vm string, topic uint8, from int64) ([]oplog.TopicRecord, int64, time.Duration, error) {
+func (l peerLink) Fetch(ctx context.Context, vm string, topic uint8, from, upTo int64) ([]oplog.TopicRecord, int64, time.Duration, error) {
 	l.d.mu.Lock()
 	denied := l.d.noFetch[l.vm]
 	l.d.mu.Unlock()
 	if denied || !slices.Contains(l.Alive(), vm) {
 		return nil, 0, 0, fmt.Errorf("%s does not answer", vm)
 	}
-	records, end, age := l.d.feeds[vm].recordsSince(topic, from)
+	records, end, age, ok := l.d.feeds[vm].recordsSince(ctx, topic, from, upTo)
+	if !ok {
+		return nil, 0, 0, fmt.Errorf("%s has no complete copy", vm)
+	}
 	return records, end, age, nil
 }
 
 // runFeeds starts the feeds of n VMs, calls f after a second of synthetic time, and stops them.
 func runFeeds(t *testing.T, n int, f func(s *fakeStore, d *deployment)) {
+	t.Helper()
+	runFeedsWith(t, n, func(l peerLink) fetcher { return l }, f)
+}
+
+// runFeedsWith is like runFeeds, with fetchers of the given kind.
+func runFeedsWith(t *testing.T, n int, newFetcher func(peerLink) fetcher, f func(s *fakeStore, d *deployment)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -190,7 +199,7 @@
 			vm := fmt.Sprint("vm-", i)
 			l := peerLink{d: d, vm: vm}
 			d.logs[vm] = memory.New()
-			fd := newFeed(ctx, vm, storeClient{s, vm}, l, &log.Logger{Handler: d.logs[vm], Level: log.InfoLevel})
+			fd := newFeed(ctx, vm, storeClient{s, vm}, newFetcher(l), &log.Logger{Handler: d.logs[vm], Level: log.InfoLevel})
 			d.state[vm], d.removed[vm] = map[string]string{}, map[string]bool{}
 			fd.apply = func(_ platform.Topic, changed []oplog.TopicRecord, lapsed bool) (needed []oplog.TopicRecord) {
 				d.mu.Lock()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -48,8 +48,8 @@
 	// ReceiveRecords delivers the records of a topic that the peer sent. They are complete from offset from up to offset end, as of
 	// age ago. It reports whether this VM lacks records before from.
 	ReceiveRecords(peer string, topic uint8, from, end int64, age time.Duration, records []oplog.TopicRecord) (missing bool)
-	// RecordsMissing is called after ReceiveRecords returned true, with the address of a peer that holds the missing records.
-	RecordsMissing(topic uint8, peer string)
+	// RecordsMissing is called after ReceiveRecords returned true, with the address of a peer that holds the records below offset upTo.
+	RecordsMissing(topic uint8, peer string, upTo int64)
 }
 
 // Exchange sends and receives the datagrams of one VM.
@@ -374,7 +374,7 @@
 	}
 	for _, batch := range m.RecordBatches {
 		if x.receiver.ReceiveRecords(m.From, batch.Topic, batch.From, batch.End, time.Duration(batch.Age)*time.Millisecond, decodeRecords(batch.Records)) {
-			x.receiver.RecordsMissing(batch.Topic, m.From)
+			x.receiver.RecordsMissing(batch.Topic, m.From, batch.End)
 		}
 	}
 }
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -42,7 +42,7 @@
 	return false
 }
 
-func (r *receiver) RecordsMissing(_ uint8, vm string) {
+func (r *receiver) RecordsMissing(_ uint8, vm string, _ int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.missingFrom = append(r.missingFrom, vm)
@@ -162,16 +162,16 @@
 // TestFetch guards against a fetch that alters records, or returns no error after a failure.
 func TestFetch(t *testing.T) {
 	records := []oplog.TopicRecord{{Key: "k", Value: []byte("v"), Offset: 3}, {Key: "gone", Offset: 4}}
-	s := httptest.NewServer(peer.RecordsHandler(func(topic uint8, from int64) ([]oplog.TopicRecord, int64, time.Duration) {
-		if topic != 2 || from != 3 {
-			t.Errorf("topic %d from %d", topic, from)
+	s := httptest.NewServer(peer.RecordsHandler(func(_ context.Context, topic uint8, from, upTo int64) ([]oplog.TopicRecord, int64, time.Duration, bool) {
+		if topic != 2 || from != 3 || upTo != 5 {
+			t.Errorf("topic %d from %d up to %d", topic, from, upTo)
 		}
-		return records, 5, 250 * time.Millisecond
+		return records, 5, 250 * time.Millisecond, true
 	}))
 	defer s.Close()
 	f := peer.NewFetcher()
 	defer f.Close()
-	got, end, age, err := f.Fetch(context.Background(), s.Listener.Addr().String(), 2, 3)
+	got, end, age, err := f.Fetch(context.Background(), s.Listener.Addr().String(), 2, 3, 5)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,7 +179,7 @@
 		t.Errorf("end %d, age %v: %s", end, age, diff)
 	}
 	s.Close()
-	if _, _, _, err := f.Fetch(context.Background(), s.Listener.Addr().String(), 2, 3); err == nil {
+	if _, _, _, err := f.Fetch(context.Background(), s.Listener.Addr().String(), 2, 3, 5); err == nil {
 		t.Error("a fetch from a closed server succeeds")
 	}
 }
