gateway: Repeat a conditional write after a conflict

A part that is quarantined wrongly stays so for longer than necessary.

After a conflict the VM has read all records; it now writes again if they leave the state of the part as it was.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
 	"goldcrestpath/endpoint"
@@ -27,6 +28,9 @@
 	storeRetry = time.Second
 )
 
+// maxConflicts is how often a write may find that another VM has written first.
+const maxConflicts = 3
+
 // partStore has the methods of platform.Store that the stored quarantine uses.
 type partStore interface {
 	ReadNewest(ctx context.Context, topic platform.Topic) ([]oplog.TopicRecord, int64, error)
@@ -183,7 +187,14 @@
 	l.mu.Unlock()
 	for _, part := range due {
 		if p, _ := l.quarantine.State(part); !p.Stored {
-			if err := l.write(p); err != nil {
+			err := l.write(p, func() bool {
+				now, _ := l.quarantine.State(part)
+				return now.Revision == p.Revision && !now.Stored
+			})
+			if errors.Is(err, errStateChanged) {
+				continue // the next call looks at the new state
+			}
+			if err != nil {
 				l.logger.WithError(err).WithField("part", partKey(part)).Warn("quarantine: a part cannot be stored; the write will be retried")
 				l.sleep(storeRetry)
 				continue
@@ -200,9 +211,9 @@
 	return len(l.pending) > 0
 }
 
-// write stores a state if no other VM has written to the topic since this one read it. After a conflict, this VM knows the records of
-// the others, and the write is to be decided again.
-func (l *partLog) write(p endpoint.QuarantinedPart) error {
+// write stores a state. The append is conditional on the end of the topic that this VM knows. If another VM has written since, this one
+// reads all records and tries again, as long as valid reports that they leave the state as it was.
+func (l *partLog) write(p endpoint.QuarantinedPart, valid func() bool) error {
 	l.storeMu.Lock()
 	defer l.storeMu.Unlock()
 	if l.end < 0 {
@@ -217,18 +228,29 @@
 			return err
 		}
 	}
-	end, err := l.store.AppendAt(l.ctx, platform.PartTopic, l.end, partKey(p.Part), value)
-	if err != nil {
-		l.end = -1 // the record may have been appended, or another VM has written
-		if syncErr := l.sync(); syncErr != nil {
-			l.logger.WithError(syncErr).Warn("quarantine: the parts cannot be read")
+	for range maxConflicts {
+		if !valid() {
+			return errStateChanged
+		}
+		end, err := l.store.AppendAt(l.ctx, platform.PartTopic, l.end, partKey(p.Part), value)
+		if err == nil {
+			l.end = end
+			return nil
+		}
+		l.end = -1 // another VM has written, or the record may have been appended
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		if err := l.sync(); err != nil {
+			return err
 		}
-		return err
 	}
-	l.end = end
-	return nil
+	return errors.Wrapf(platform.ErrConflict, "after %d attempts", maxConflicts)
 }
 
+// errStateChanged is the error for a write whose state another VM has changed.
+var errStateChanged = errors.New("another VM has changed the state of the part")
+
 // ClaimTrial implements forward.Trials. The trial is recorded before it begins, so that no restart grants it again. While the store is
 // unavailable there are no trials.
 func (l *partLog) ClaimTrial(_ context.Context, part endpoint.PromptPart) bool {
@@ -237,7 +259,11 @@
 		return false
 	}
 	p.Revision, p.Trials, p.ChangedAt, p.Stored = p.Revision+1, p.Trials+1, time.Now(), true
-	if err := l.write(p); err != nil {
+	err := l.write(p, func() bool {
+		now, _ := l.quarantine.State(part)
+		return now.Revision == p.Revision-1
+	})
+	if err != nil {
 		l.logger.WithError(err).WithField("part", partKey(part)).Info("quarantine: no trial")
 		return false
 	}
