--- /dev/null
+++ b/forward/endless_test.go
@@ -0,0 +1,68 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// endless answers with a head that begins with start, and then writes block until the gateway closes the connection. closed is closed then.
+func endless(start, block string, pause time.Duration, closed chan<- struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		_, err = io.WriteString(conn, start)
+		for err == nil {
+			_, err = io.WriteString(conn, block)
+			time.Sleep(pause)
+		}
+		select {
+		case closed <- struct{}{}:
+		default: // an earlier attempt was closed already
+		}
+	}
+}
+
+// TestEndlessAnswers guards against an endpoint whose answer has no end and that holds a request, a connection or memory without limit, and
+// against the beginning of such an answer that is delivered as a complete one.
+func TestEndlessAnswers(t *testing.T) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: call-1\r\n%s: 1\r\n", headerID, headerAuthentic)
+	failed := strings.Replace(head, "200 OK", "500 Failed", 1)
+	block := strings.Repeat("x", 32<<10)
+	for name, c := range map[string]struct {
+		path, start, block string
+		pause              time.Duration
+	}{
+		"head of a call":                {path: "/read/", start: head, block: "X-More: " + block + "\r\n"},
+		"head that comes slowly":        {path: "/read/", start: head, block: "X-More: 1\r\n", pause: 5 * time.Millisecond},
+		"head of a stream":              {path: "/stream/", start: head, block: "X-More: " + block + "\r\n"},
+		"body of a call":                {path: "/read/", start: head + "\r\n", block: block},
+		"body of a call once":           {path: "/book/", start: head + "\r\n", block: block},
+		"body that comes slowly":        {path: "/book/", start: head + "\r\n", block: "x", pause: 5 * time.Millisecond},
+		"event of a stream":             {path: "/stream/", start: head + "\r\n", block: block},
+		"event that comes slowly":       {path: "/stream/", start: head + "\r\n", block: "x", pause: 5 * time.Millisecond},
+		"failure on the path of stream": {path: "/once/", start: failed + "\r\n", block: block},
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{}, 1)
+			h := endless(c.start, c.block, c.pause, closed)
+			s := newSite(t, h, h)
+			got, err := s.do("POST", c.path, "", headerTimeLimit, "1s")
+			if err == nil && (got.Status < 500 || strings.Contains(got.Body, "xxx")) {
+				t.Errorf("the caller got status %d with %d bytes", got.Status, len(got.Body))
+			}
+			select {
+			case <-closed:
+			case <-time.After(10 * time.Second):
+				t.Error("the gateway does not close the connection")
+			}
+		})
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -17,7 +17,9 @@
 
 // Limits of requests whose answer is a single body. waitTargets applies to streams as well.
 const (
-	maxAnswerBytes = 64 << 20 // a longer answer counts as failed, because an answer is delivered completely or not at all
+	// maxAnswerBytes limits an answer, which is delivered completely or not at all; a longer one counts as failed. Several have to fit into
+	// the memory of a small VM.
+	maxAnswerBytes = 8 << 20
 	// attemptTargets is the multiple of the route's TTFT target after which an attempt ends if another endpoint can be tried.
 	attemptTargets = 3
 	// minAttemptTime is the least time that an attempt gets.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -31,6 +31,14 @@
 	maxIdlePerEndpoint = 8
 )
 
+// Limits of answers that have no end of their own.
+const (
+	// maxAnswerHeadBytes limits the head of an endpoint's answer.
+	maxAnswerHeadBytes = 64 << 10
+	// maxRequestTime limits a request for which neither the caller nor the route has a time limit.
+	maxRequestTime = 10 * time.Minute
+)
+
 // bodyTimeout limits how long a caller may take to send a request's body.
 const bodyTimeout = 20 * time.Second
 
@@ -77,11 +85,11 @@
 	h := &Handler{codec: codec, fleet: fleet, budget: budget, logger: logger, random: rand.Float64}
 	h.pooled = &http.Transport{
 		DialContext: http1.NewDialer(dialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerEndpoint,
-		IdleConnTimeout: idleTimeout, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
+		IdleConnTimeout: idleTimeout, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}
 	h.unpooled = &http.Transport{
 		DialContext: http1.NewDialer(dialTimeout).DialContext, DisableCompression: true, DisableKeepAlives: true,
-		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
+		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}
 	h.dial = http1.NewDialer(endedProbeTimeout).DialContext
 	h.register(metrics.NewRegistry())
@@ -244,7 +252,7 @@
 		limit = t
 	}
 	if limit <= 0 {
-		return context.WithCancel(ctx)
+		return context.WithTimeout(ctx, maxRequestTime)
 	}
 	q.deadline = q.call.ArrivedAt.Add(limit)
 	return context.WithDeadline(ctx, q.deadline)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -230,11 +230,11 @@
 	if sendErr != nil || !head.MatchesAttempt || head.NotRun || head.Status != http.StatusOK || !head.Authentic {
 		if sendErr == nil {
 			var err error
-			if body, err = io.ReadAll(io.LimitReader(resp.Body, maxEventBytes)); err != nil && !head.NotRun {
+			if body, err = io.ReadAll(io.LimitReader(resp.Body, maxEventBytes+1)); err != nil && !head.NotRun {
 				sendErr = &sendError{verdict: customer.MayHaveRun, err: err}
 			}
 		}
-		failure, outcome = q.classify(ctx, head, sendErr, false)
+		failure, outcome = q.classify(ctx, head, sendErr, len(body) > maxEventBytes)
 		if sendErr != nil && outcome == endpoint.Broken && ctx.Err() == nil {
 			progress.brokeOff(sel.First())
 		}
--- a/peer/records.go
+++ b/peer/records.go
@@ -23,6 +23,7 @@
 const (
 	fetchTimeout  = 800 * time.Millisecond
 	maxFetchBytes = 16 << 20 // after decompression
+	maxHeadBytes  = 64 << 10
 	// maxWait limits how long a peer waits for records that it lacks itself before it answers. It leaves the rest of fetchTimeout for
 	// the transfer.
 	maxWait = 400 * time.Millisecond
@@ -144,9 +145,11 @@
 // NewFetcher returns a fetcher whose requests time out after fetchTimeout.
 func NewFetcher(opts ...FetcherOption) *Fetcher {
 	f := &Fetcher{client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
-		DialContext:        http1.NewDialer(fetchTimeout).DialContext,
-		IdleConnTimeout:    2 * time.Second,
-		DisableCompression: true, // Fetch decompresses, so that its limit applies to the decompressed size with any transport
+		DialContext:     http1.NewDialer(fetchTimeout).DialContext,
+		IdleConnTimeout: 2 * time.Second,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true, // Fetch decompresses, so that its limit applies to the decompressed size with any transport
 	}}}
 	for _, opt := range opts {
 		opt(f)
