forward: Treat a stream without any event as broken off

An answer may end with its connection. Where an engine ends before the first event of such a stream, the caller got an empty stream that looks complete, and the prompt counted as sound, so a part that crashes engines was never quarantined.

A stream that ends before its first event has now failed, unless the caller resumes one. TestEngineThatEndsUnderAPrompt failed before for answers without a length.

--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -107,6 +107,7 @@
 // endingEngine is an endpoint whose process ends when it has begun to answer.
 type endingEngine struct {
 	listener net.Listener
+	framing  string // header line, or "" for an answer that ends with its connection
 }
 
 func (e *endingEngine) serve(end bool) {
@@ -120,7 +121,7 @@
 		if end {
 			e.listener.Close()
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: call-1\r\n%s: 1\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, headerAuthentic)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: call-1\r\n%s: 1\r\n%s\r\n", headerID, headerAuthentic, e.framing)
 		conn.Close()
 	}
 }
@@ -128,7 +129,10 @@
 // TestEngineThatEndsUnderAPrompt guards against an engine's end that is not reported as evidence, and against evidence from an engine that
 // breaks a connection but goes on. The prompt is not sent to an engine any more once its part is in quarantine, although the route allows it.
 func TestEngineThatEndsUnderAPrompt(t *testing.T) {
-	for _, ends := range []bool{true, false} {
+	for _, c := range []struct {
+		ends    bool
+		framing string
+	}{{true, "Transfer-Encoding: chunked\r\n"}, {true, ""}, {false, "Transfer-Encoding: chunked\r\n"}, {false, ""}} {
 		q := endpoint.NewQuarantine()
 		s := newSiteWith(t, []forward.Option{forward.WithQuarantine(q, &trials{})})
 		for i := range 4 {
@@ -137,22 +141,22 @@
 				t.Fatal(err)
 			}
 			defer l.Close()
-			go (&endingEngine{listener: l}).serve(ends)
+			go (&endingEngine{listener: l, framing: c.framing}).serve(c.ends)
 			s.fleet.SetEntry(time.Now(), endpoint.Entry{ID: fmt.Sprint("engine-", i), Service: "desk", Address: l.Addr().String(), DataCentre: "dc", Slots: 4}, 0)
 		}
 		for range 2 {
-			if _, err := s.do("POST", "/stream/", "", headerPart, "tainted"); err != nil {
-				t.Log(err)
+			if got, err := s.do("POST", "/stream/", "", headerPart, "tainted"); err == nil && got.Status == 200 {
+				t.Errorf("engines end: %v, framing %q: a stream without events looks complete", c.ends, c.framing)
 			}
 			time.Sleep(200 * time.Millisecond) // separate ends of engines are counted separately
 		}
 		s.handler.Close()
 		want := 0
-		if ends {
+		if c.ends {
 			want = 4
 		}
 		if got := len(q.TakeReports(true).Suspects); got != want {
-			t.Errorf("engines end: %v: %d suspect prompts, want %d", ends, got, want)
+			t.Errorf("engines end: %v, framing %q: %d suspect prompts, want %d", c.ends, c.framing, got, want)
 		}
 	}
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -339,6 +339,8 @@
 		switch {
 		case err == bufio.ErrBufferFull && len(event) <= maxEventBytes:
 			continue
+		case err == io.EOF && len(event) == 0 && d.lastID == "" && d.events == 0:
+			return errors.New("the stream ended before its first event")
 		case err == io.EOF && len(event) == 0:
 			if !d.started {
 				d.writeHead(head)
