endpoint: Weigh evidence only after it changed

Each heartbeat weighed all suspect prompts again. Only new evidence or a new state can change the result.

--- a/endpoint/quarantine.go
+++ b/endpoint/quarantine.go
@@ -109,6 +109,7 @@
 	quarantined map[PromptPart]QuarantinedPart
 	fresh       map[PromptPart]bool // parts whose states changed since TakeReports
 	unsent      []unsentReport      // reports that peers get with the next messages
+	undecided   bool                // evidence or states changed since it was weighed
 }
 
 // unsentReport is a report of this VM that is still to be sent.
@@ -319,6 +320,7 @@
 	}
 	i, _ := slices.BinarySearchFunc(q.suspects, s, func(a, b SuspectPrompt) int { return a.EndedAt.Compare(b.EndedAt) })
 	q.suspects = slices.Insert(q.suspects, i, s)
+	q.undecided = true
 	if len(q.suspects) > maxSuspects {
 		q.suspects = slices.Delete(q.suspects, 0, len(q.suspects)-maxSuspects)
 	}
@@ -361,6 +363,7 @@
 	}
 	q.quarantined[p.Part] = p
 	q.fresh[p.Part] = true
+	q.undecided = true // ends that a part in quarantine explained may count again
 	q.signalLocked()
 	return true
 }
@@ -381,6 +384,10 @@
 // the evidence again, without the prompts that have a quarantined part.
 func (q *Quarantine) decideLocked(now time.Time) []change {
 	q.suspects = slices.DeleteFunc(q.suspects, func(s SuspectPrompt) bool { return now.Sub(s.EndedAt) > evidenceTTL })
+	if !q.undecided {
+		return nil
+	}
+	q.undecided = slices.ContainsFunc(q.suspects, func(s SuspectPrompt) bool { return now.Sub(s.EndedAt) <= settleTime })
 	var changes []change
 	for {
 		leading := leadingParts(q.weighLocked(now))
--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -276,3 +276,19 @@
 	fmt.Println(len(q.Blocked([]endpoint.PromptPart{common})), len(q.Blocked([]endpoint.PromptPart{common, rare})))
 	// Output: 0 1
 }
+
+// BenchmarkDecide measures a decision with as much evidence as is kept.
+func BenchmarkDecide(b *testing.B) {
+	q := endpoint.NewQuarantine()
+	now := time.Unix(1000, 0)
+	for i := range 512 {
+		now = now.Add(100 * time.Millisecond)
+		q.ReportEnd(endpoint.SuspectPrompt{Endpoint: endpoint.Key(i), EndedAt: now, Began: true, Parts: []endpoint.PromptPart{endpoint.PromptPart(i % 60), endpoint.PromptPart(1000 + i)}})
+		q.ReportSound(now, []endpoint.PromptPart{endpoint.PromptPart(i % 60)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.ReportEnd(endpoint.SuspectPrompt{Endpoint: 1, EndedAt: now, Parts: []endpoint.PromptPart{1}})
+		q.Decide(now.Add(time.Second))
+	}
+}
