gateway: Let one request at a time ask the store for a trial

While the store did not answer, each prompt with a part whose trial was due waited for the prompts before it, 1.2 s for each, before it was refused. Now a prompt is refused at once while another one asks, and for a second after a failure (TestTrialsDoNotWaitForEachOther).

--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -57,7 +57,7 @@
 	endsOf, fifthAt := make([]int, max(l.parts, 1)), make([]time.Time, max(l.parts, 1))
 	var running []*simulatedPrompt
 	out := quarantineRun{late: map[int]int{}, sent: map[int]int{}, refused: map[int]int{}}
-	trials := map[endpoint.PromptPart]int{} // claimed trials as the store has them
+	trials := map[endpoint.PromptPart]int{} // trials as the store has recorded them
 	send := func(now time.Time, p *simulatedPrompt) {
 		q := vms[p.vm]
 		if blocked := q.Blocked(p.parts); len(blocked) > 0 && !p.trial {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -36,7 +36,7 @@
 	var failure *customer.Refusal
 	for {
 		sel, refusal := q.selectWithin(ctx, time.Duration(waitTargets*float64(q.route.TTFTTarget)), func(now time.Time) (*endpoint.Selection, *customer.Refusal) {
-			if refusal := q.checkParts(ctx); refusal != nil {
+			if refusal := q.checkParts(); refusal != nil {
 				return nil, refusal
 			}
 			return q.h.fleet.SelectForCall(now, q.service, q.tried)
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -21,9 +21,12 @@
 	endedProbeTimeout = dialTimeout
 )
 
-// Trials decides whether one prompt with a quarantined part may be sent, as a trial. At most one VM of the deployment gets a trial.
+// Trials grants trials: a single prompt with a quarantined part that is sent to show whether the part is sound. Of all VMs, at most one gets
+// a trial.
 type Trials interface {
-	ClaimTrial(ctx context.Context, part endpoint.PromptPart) bool
+	// TakeTrial asks for a trial and reports whether this VM has got it.
+	TakeTrial(part endpoint.PromptPart) bool
+	// Release ends the quarantine of a part after a trial was answered.
 	Release(part endpoint.PromptPart)
 }
 
@@ -34,7 +37,7 @@
 
 // checkParts returns a refusal if the prompt has a part in quarantine, unless the prompt is a trial. It is called before each send,
 // because a part may be quarantined while the prompt waits or an attempt runs.
-func (q *request) checkParts(ctx context.Context) *customer.Refusal {
+func (q *request) checkParts() *customer.Refusal {
 	if q.h.quarantine == nil || len(q.call.SharedParts) == 0 {
 		return nil
 	}
@@ -51,7 +54,7 @@
 	case !stillBlocked && len(blocked) == 1:
 		return nil // released since
 	case q.trial || q.mayHaveRun || len(blocked) > 1 || wait > 0:
-	case q.h.trials.ClaimTrial(ctx, part):
+	case q.h.trials.TakeTrial(part):
 		q.trial, q.trialPart = true, part
 		q.log().WithFields(log.Fields{"part": partName(part), "trials": state.Trials + 1}).Info("forward: a prompt with a quarantined part is let through as a trial")
 		return nil
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,7 +22,7 @@
 	released []endpoint.PromptPart
 }
 
-func (t *trials) ClaimTrial(context.Context, endpoint.PromptPart) bool {
+func (t *trials) TakeTrial(endpoint.PromptPart) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.left--
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -45,7 +45,7 @@
 			failure = refusal
 			break
 		}
-		if refusal := q.checkParts(ctx); refusal != nil {
+		if refusal := q.checkParts(); refusal != nil {
 			sel.End(time.Now(), endpoint.Cancelled)
 			failure = refusal
 			break
@@ -60,7 +60,7 @@
 			break
 		}
 		// The parts are checked again, because a reservation takes time.
-		if refusal := q.checkParts(ctx); refusal != nil {
+		if refusal := q.checkParts(); refusal != nil {
 			if res != nil {
 				res.release()
 			}
@@ -147,7 +147,7 @@
 
 // selectForStream selects endpoints for a stream. A prompt that waits for engines joins the order of waiting prompts of all VMs.
 func (q *request) selectForStream(ctx context.Context) (*endpoint.Selection, *customer.Refusal) {
-	if refusal := q.checkParts(ctx); refusal != nil {
+	if refusal := q.checkParts(); refusal != nil {
 		return nil, refusal
 	}
 	s := q.table.Services()[q.service]
@@ -158,7 +158,7 @@
 	}
 	var waiter *endpoint.Waiter
 	sel, refusal := q.selectWithin(ctx, q.waitLimit(), func(now time.Time) (*endpoint.Selection, *customer.Refusal) {
-		if refusal := q.checkParts(ctx); refusal != nil {
+		if refusal := q.checkParts(); refusal != nil {
 			return nil, refusal // quarantined while it waited
 		}
 		prompt := endpoint.Prompt{
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -24,7 +24,7 @@
 	// time. It is bounded by maxStoreRank, so that a decision is stored soon if the first VMs are gone.
 	storeStagger = 300 * time.Millisecond
 	maxStoreRank = 8
-	// storeRetry is the time between attempts after a failure.
+	// storeRetry is the time between attempts after a failure, also between requests for trials.
 	storeRetry = time.Second
 )
 
@@ -57,8 +57,9 @@
 	ctx        context.Context
 	wg         sync.WaitGroup
 
-	storeMu sync.Mutex // held during a write; guards end
-	end     int64      // offset after the last known record, -1 if unknown
+	storeMu      sync.Mutex // held during calls to the store; guards end and noTrialUntil
+	end          int64      // offset after the last known record, -1 if unknown
+	noTrialUntil time.Time  // no trial is asked for before, because the last attempt failed
 
 	mu      sync.Mutex
 	pending map[endpoint.PromptPart]time.Time // parts whose states this VM still has to store, and when they changed
@@ -187,10 +188,12 @@
 	l.mu.Unlock()
 	for _, part := range due {
 		if p, _ := l.quarantine.State(part); !p.Stored {
-			err := l.write(p, func() bool {
+			l.storeMu.Lock()
+			err := l.writeLocked(p, func() bool {
 				now, _ := l.quarantine.State(part)
 				return now.Revision == p.Revision && !now.Stored
 			})
+			l.storeMu.Unlock()
 			if errors.Is(err, errStateChanged) {
 				continue // the next call looks at the new state
 			}
@@ -211,11 +214,9 @@
 	return len(l.pending) > 0
 }
 
-// write stores a state. The append is conditional on the end of the topic that this VM knows. If another VM has written since, this one
+// writeLocked stores a state. The append is conditional on the end of the topic that this VM knows. If another VM has written since, this one
 // reads all records and tries again, as long as valid reports that they leave the state as it was.
-func (l *partLog) write(p endpoint.QuarantinedPart, valid func() bool) error {
-	l.storeMu.Lock()
-	defer l.storeMu.Unlock()
+func (l *partLog) writeLocked(p endpoint.QuarantinedPart, valid func() bool) error {
 	if l.end < 0 {
 		if err := l.sync(); err != nil {
 			return err
@@ -251,19 +252,25 @@
 // errStateChanged is the error for a write whose state another VM has changed.
 var errStateChanged = errors.New("another VM has changed the state of the part")
 
-// ClaimTrial implements forward.Trials. The trial is recorded before it begins, so that no restart grants it again. While the store is
-// unavailable there are no trials.
-func (l *partLog) ClaimTrial(_ context.Context, part endpoint.PromptPart) bool {
-	wait, p, ok := l.quarantine.UntilTrial(time.Now(), part)
-	if !ok || wait > 0 {
+// TakeTrial implements forward.Trials. The trial is recorded before it begins, so that no restart grants it again. While the store is
+// unavailable there are no trials, and only one request at a time waits for it.
+func (l *partLog) TakeTrial(part endpoint.PromptPart) bool {
+	if !l.storeMu.TryLock() {
+		return false
+	}
+	defer l.storeMu.Unlock()
+	now := time.Now()
+	wait, p, ok := l.quarantine.UntilTrial(now, part)
+	if !ok || wait > 0 || now.Before(l.noTrialUntil) {
 		return false
 	}
-	p.Revision, p.Trials, p.ChangedAt, p.Stored = p.Revision+1, p.Trials+1, time.Now(), true
-	err := l.write(p, func() bool {
+	p.Revision, p.Trials, p.ChangedAt, p.Stored = p.Revision+1, p.Trials+1, now, true
+	err := l.writeLocked(p, func() bool {
 		now, _ := l.quarantine.State(part)
 		return now.Revision == p.Revision-1
 	})
 	if err != nil {
+		l.noTrialUntil = time.Now().Add(storeRetry)
 		l.logger.WithError(err).WithField("part", partKey(part)).Info("quarantine: no trial")
 		return false
 	}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -24,6 +24,8 @@
 	calls   int
 	down    bool
 	lost    bool // appends are executed, but not answered
+
+	silentFor time.Duration // appends fail after this time, if it is not 0
 }
 
 func (s *fakePartStore) ReadNewest(context.Context, platform.Topic) ([]oplog.TopicRecord, int64, error) {
@@ -50,6 +52,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if s.silentFor > 0 {
+		time.Sleep(s.silentFor)
+		return 0, errDown
+	}
 	switch {
 	case s.down:
 		return 0, errDown
@@ -122,12 +128,12 @@
 	}
 }
 
-// claims returns how many of the VMs get a trial when all claim one at once.
-func (d *partLogs) claims(part endpoint.PromptPart) int {
+// takeTrials returns how many of the VMs get a trial when all ask for one at once.
+func (d *partLogs) takeTrials(part endpoint.PromptPart) int {
 	granted := make([]bool, len(d.vms))
 	var wg sync.WaitGroup
 	for i, l := range d.vms {
-		wg.Go(func() { granted[i] = l.ClaimTrial(context.Background(), part) })
+		wg.Go(func() { granted[i] = l.TakeTrial(part) })
 	}
 	wg.Wait()
 	n := 0
@@ -182,7 +188,7 @@
 	}
 }
 
-// TestOneTrialInTheDeployment guards against more trials than one at a time and three within a minute, whatever number of VMs claims them,
+// TestOneTrialInTheDeployment guards against more trials than one at a time and three within a minute, whatever number of VMs asks for them,
 // restarts of all VMs included, and against trials that the store has not recorded.
 func TestOneTrialInTheDeployment(t *testing.T) {
 	for _, n := range []int{1, 9, 62} {
@@ -195,7 +201,7 @@
 				var granted []int
 				for range 12 {
 					d.run(5 * time.Second)
-					if c := d.claims(7); c > 0 {
+					if c := d.takeTrials(7); c > 0 {
 						granted = append(granted, c)
 					}
 					if restart {
@@ -215,7 +221,7 @@
 				store.down = true
 				store.mu.Unlock()
 				time.Sleep(2 * time.Hour)
-				if c := d.claims(7); c != 0 {
+				if c := d.takeTrials(7); c != 0 {
 					t.Errorf("%d trials while the store is down", c)
 				}
 				d.stop()
@@ -224,6 +230,39 @@
 	}
 }
 
+// TestTrialsDoNotWaitForEachOther guards against requests that queue for a store that does not answer, each for its time limit.
+func TestTrialsDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakePartStore{}
+		d := startPartLogs(store, 1)
+		defer d.stop()
+		d.run(time.Second)
+		d.quarantine(7)
+		d.run(7 * time.Second)
+		store.mu.Lock()
+		store.silentFor = 1200 * time.Millisecond
+		store.mu.Unlock()
+		started := time.Now()
+		var wg sync.WaitGroup
+		for i := range 50 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+				arrived := time.Now()
+				if d.vms[0].TakeTrial(7) {
+					t.Error("a trial that the store has not recorded")
+				}
+				if waited := time.Since(arrived); i > 0 && waited > 0 {
+					t.Errorf("request %d waited for %v", i, waited)
+				}
+			})
+		}
+		wg.Wait()
+		if took := time.Since(started); took > 1300*time.Millisecond {
+			t.Errorf("50 requests took %v", took)
+		}
+	})
+}
+
 // TestReleaseReachesAllVMs guards against a part that stays in quarantine on some VMs, or after a restart, although a trial was answered.
 func TestReleaseReachesAllVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -232,7 +271,7 @@
 		d.run(time.Second)
 		d.quarantine(7)
 		d.run(10 * time.Second)
-		if c := d.claims(7); c != 1 {
+		if c := d.takeTrials(7); c != 1 {
 			t.Fatalf("%d trials, want 1", c)
 		}
 		d.run(time.Second)
