endpoint: Tell parts apart that are present at the same ends of engines

And while evidence was kept, each answer with a suspected part was reported to all VMs.

Ends that a quarantined part explains count half for the other parts of its prompts; ties go to the part that was on the most engines; a part that was never sound gets one trial within ten minutes; a sound part is reported once for new evidence (TestSoundPartsAreReportedOnce failed before with 100 reports in place of 1).

--- a/endpoint/quarantine.go
+++ b/endpoint/quarantine.go
@@ -18,8 +18,11 @@
 
 // Limits on the evidence that leads to a quarantine.
 const (
-	// minEnds is the number of times that engines have to end under prompts with the same part, and with no other part as often.
+	// minEnds is the number of times that engines have to end under prompts with the same part, and with no other part as often. An end
+	// that a quarantined part in the same prompt explains counts half.
 	minEnds = 3
+	// minUnexplainedEnds is how many of these ends no quarantined part explains.
+	minUnexplainedEnds = 2
 	// decisiveEnds is the number of ends after which all parts that were present at each of them are quarantined, even if nothing
 	// distinguishes them.
 	decisiveEnds = 6
@@ -43,9 +46,12 @@
 )
 
 // trialDelays are the times from the quarantine, or from the previous trial, to the next one; the last one repeats. Each trial of a part
-// that crashes engines costs one more engine, so they soon become rare. A second trial soon after the first one makes up for an engine that
-// ended for another reason.
-var trialDelays = []time.Duration{6 * time.Second, 12 * time.Second, 10 * time.Minute, time.Hour}
+// that crashes engines costs one more engine, so they soon become rare.
+var trialDelays = []time.Duration{6 * time.Second, 10 * time.Minute, time.Hour}
+
+// secondTrialDelay is the time from the first to the second trial of a part that was sound at some time. It may have been blamed wrongly, and
+// the engine of its first trial may have ended for another reason.
+const secondTrialDelay = 12 * time.Second
 
 // SuspectPrompt is a prompt that an engine had begun to answer, or was about to, when the engine's process ended.
 type SuspectPrompt struct {
@@ -68,13 +74,21 @@
 	Revision  int       // increases with each change of the state
 	Trials    int       // prompts that were let through since the quarantine began
 	ChangedAt time.Time // when this VM learned of the state
+	WasSound  bool      // the part was known to be sound at some time before
 	Released  bool      // a prompt with the part was answered
 	Stored    bool      // the platform's store has the state
 }
 
 // nextTrial returns when a prompt with the part may be let through.
 func (p *QuarantinedPart) nextTrial() time.Time {
-	return p.ChangedAt.Add(trialDelays[min(p.Trials, len(trialDelays)-1)])
+	n := p.Trials
+	if p.WasSound && n > 0 {
+		if n == 1 {
+			return p.ChangedAt.Add(secondTrialDelay)
+		}
+		n--
+	}
+	return p.ChangedAt.Add(trialDelays[min(n, len(trialDelays)-1)])
 }
 
 // QuarantineReports are the reports that VMs exchange.
@@ -93,9 +107,9 @@
 //
 // When an engine ends, the cause may be any part of the prompts that it had just begun to answer, or none. VMs report these prompts
 // to each other. A part is quarantined once it was present at the ends of several engines, while no prompt with it was answered since
-// the first of them. If several parts were, the one that was never known to be sound is, or else the one with the fewest prompts, because
-// a part that crashes engines often follows one that many sound prompts share. Other parts of the same prompts are not blamed for these
-// ends any more. From time to time a single prompt of the deployment with a quarantined part is let through; if it is answered, the part is
+// the first of them. If several parts were, the one that was never known to be sound is, or else the one that was present on the most
+// engines, or else the one with the fewest prompts, because a part that crashes engines often follows one that many sound prompts share.
+// Other prompts on these engines are not blamed for these ends any more. From time to time a single prompt of the deployment with a quarantined part is let through; if it is answered, the part is
 // released.
 //
 // It is safe for concurrent use.
@@ -197,12 +211,14 @@
 	q.notify(changes)
 }
 
-// ReportSound records that an engine began at a time to answer a prompt of this VM with these parts and went on.
+// ReportSound records that an engine began at a time to answer a prompt of this VM with these parts and went on. Peers learn of it only if
+// that cancels evidence.
 func (q *Quarantine) ReportSound(at time.Time, parts []PromptPart) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, part := range parts {
-		if !q.addSoundLocked(SoundPart{Part: part, At: at}) || !q.suspectedLocked(part) {
+		suspected := q.suspectedLocked(part, at)
+		if !q.addSoundLocked(SoundPart{Part: part, At: at}) || !suspected {
 			continue
 		}
 		q.unsent = append(q.unsent, unsentReport{sound: SoundPart{Part: part, At: at}, repeats: repeatReports})
@@ -210,9 +226,11 @@
 	}
 }
 
-// suspectedLocked reports whether a suspect prompt has the part.
-func (q *Quarantine) suspectedLocked(part PromptPart) bool {
-	return slices.ContainsFunc(q.suspects, func(s SuspectPrompt) bool { return slices.Contains(s.Parts, part) })
+// suspectedLocked reports whether there is evidence against the part from before the given time that is not cancelled.
+func (q *Quarantine) suspectedLocked(part PromptPart, before time.Time) bool {
+	return slices.ContainsFunc(q.suspects, func(s SuspectPrompt) bool {
+		return s.EndedAt.After(q.sound[part]) && s.EndedAt.Before(before) && slices.Contains(s.Parts, part)
+	})
 }
 
 // SetState records a new state of a part, unless a later one is known. It reports whether the state is new.
@@ -292,8 +310,8 @@
 	q.notify(changes)
 }
 
-// repeatSoundLocked reports the parts for which this VM knows a later sound prompt than their suspicion. Nobody has told the peer
-// while nothing was suspected.
+// repeatSoundLocked reports with the next heartbeat when parts were sound. Peers do not know, because it was not reported while the parts
+// were not suspected.
 func (q *Quarantine) repeatSoundLocked(parts []PromptPart) {
 	for _, part := range parts {
 		if at, ok := q.sound[part]; ok {
@@ -391,32 +409,38 @@
 	var changes []change
 	for {
 		leading := leadingParts(q.weighLocked(now))
-		if len(leading) == 0 || leading[0].ends < minEnds || len(leading) > 1 && leading[0].ends < decisiveEnds {
+		if len(leading) == 0 || leading[0].weight() < 2*minEnds || len(leading) > 1 && leading[0].weight() < 2*decisiveEnds {
 			return changes
 		}
 		for _, e := range leading {
-			p := QuarantinedPart{Part: e.part, Revision: q.quarantined[e.part].Revision + 1, ChangedAt: now}
+			p := QuarantinedPart{Part: e.part, Revision: q.quarantined[e.part].Revision + 1, ChangedAt: now, WasSound: e.sound}
 			q.setStateLocked(p)
-			changes = append(changes, change{part: p, ends: e.ends})
+			changes = append(changes, change{part: p, ends: e.ends + e.explained})
 		}
 	}
 }
 
 // evidence is what speaks against a part.
 type evidence struct {
-	part    PromptPart
-	ends    int  // ends of engines at which it was present and since which it was not sound
-	sound   bool // it was sound at some time
-	prompts int  // prompts with it at these ends
+	part      PromptPart
+	ends      int  // ends of engines at which it was present and since which it was not sound
+	explained int  // further ends, at which a quarantined part was present in the same prompt
+	sound     bool // it was sound at some time
+	engines   int  // engines that ended while it was present; several may end at the same time
+	prompts   int  // prompts with it at these ends
 }
 
+// weight returns the strength of the evidence in halves of an end.
+func (e *evidence) weight() int { return 2*e.ends + e.explained }
+
 // leadingParts returns the parts with the most evidence. More than one is returned only if nothing distinguishes them.
 func leadingParts(all []evidence) []evidence {
+	all = slices.DeleteFunc(all, func(e evidence) bool { return e.ends < minUnexplainedEnds })
 	slices.SortFunc(all, func(a, b evidence) int {
-		return cmp.Or(cmp.Compare(b.ends, a.ends), compareBool(a.sound, b.sound), cmp.Compare(a.prompts, b.prompts), cmp.Compare(a.part, b.part))
+		return cmp.Or(cmp.Compare(b.weight(), a.weight()), compareBool(a.sound, b.sound), cmp.Compare(b.engines, a.engines), cmp.Compare(a.prompts, b.prompts), cmp.Compare(a.part, b.part))
 	})
 	n := 0
-	for n < len(all) && all[n].ends == all[0].ends && all[n].sound == all[0].sound && all[n].prompts == all[0].prompts {
+	for n < len(all) && all[n].weight() == all[0].weight() && all[n].sound == all[0].sound && all[n].engines == all[0].engines && all[n].prompts == all[0].prompts {
 		n++
 	}
 	return all[:n]
@@ -438,6 +462,7 @@
 	at        time.Time // first report
 	endpoints []Key
 	prompts   []SuspectPrompt
+	explained bool // a prompt has a part that is in quarantine, so the other prompts are not blamed
 }
 
 // weighLocked returns the evidence against each part that is not in quarantine.
@@ -449,13 +474,22 @@
 		}
 		began := slices.ContainsFunc(e.prompts, func(s SuspectPrompt) bool { return s.Began })
 		present := map[PromptPart]int{}
+		type presence struct {
+			part     PromptPart
+			endpoint Key
+		}
+		engines := map[presence]bool{}
 		for _, s := range e.prompts {
 			if began && !s.Began {
 				continue // the engine ended under a prompt that it had begun to answer
 			}
+			if e.explained && !q.quarantinedLocked(s) {
+				continue
+			}
 			for _, part := range s.Parts {
-				if s.EndedAt.After(q.sound[part]) {
+				if p, known := q.quarantined[part]; s.EndedAt.After(q.sound[part]) && (!known || p.Released) {
 					present[part]++
+					engines[presence{part, s.Endpoint}] = true
 				}
 			}
 		}
@@ -463,9 +497,16 @@
 			if byPart[part] == nil {
 				byPart[part] = &evidence{part: part, sound: !q.sound[part].IsZero()}
 			}
-			byPart[part].ends++
+			if e.explained {
+				byPart[part].explained++
+			} else {
+				byPart[part].ends++
+			}
 			byPart[part].prompts += prompts
 		}
+		for p := range engines {
+			byPart[p.part].engines++
+		}
 	}
 	all := make([]evidence, 0, len(byPart))
 	for _, e := range byPart {
@@ -474,8 +515,12 @@
 	return all
 }
 
-// endsLocked groups the suspect prompts by the ends of engines. An end that a quarantined part explains is left out, so that the other
-// prompts there are not blamed for it.
+// quarantinedLocked reports whether the prompt has a part in quarantine.
+func (q *Quarantine) quarantinedLocked(s SuspectPrompt) bool {
+	return slices.ContainsFunc(s.Parts, func(part PromptPart) bool { p, known := q.quarantined[part]; return known && !p.Released })
+}
+
+// endsLocked groups the suspect prompts by the ends of engines.
 func (q *Quarantine) endsLocked() []*end {
 	var ends []*end
 	for _, s := range q.suspects {
@@ -494,10 +539,7 @@
 		}
 		e.endpoints = append(e.endpoints, s.Endpoint)
 		e.prompts = append(e.prompts, s)
+		e.explained = e.explained || q.quarantinedLocked(s)
 	}
-	return slices.DeleteFunc(ends, func(e *end) bool {
-		return slices.ContainsFunc(e.prompts, func(s SuspectPrompt) bool {
-			return slices.ContainsFunc(s.Parts, func(part PromptPart) bool { p, ok := q.quarantined[part]; return ok && !p.Released })
-		})
-	})
+	return ends
 }
--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"goldcrestpath/endpoint"
 )
 
@@ -263,6 +265,30 @@
 	}
 }
 
+// TestSoundPartsAreReportedOnce guards against a message to all VMs for each answer while evidence is kept.
+func TestSoundPartsAreReportedOnce(t *testing.T) {
+	q := endpoint.NewQuarantine()
+	now := time.Unix(1000, 0)
+	parts := []endpoint.PromptPart{7}
+	sound := func(n int) int {
+		reports := 0
+		for range n {
+			now = now.Add(100 * time.Millisecond)
+			q.ReportSound(now, parts)
+			reports += len(q.TakeReports(false).Sound)
+		}
+		return reports
+	}
+	got := []int{sound(10)}
+	for i := range 2 {
+		q.ReportEnd(endpoint.SuspectPrompt{Endpoint: endpoint.Key(i), EndedAt: now.Add(50 * time.Millisecond), Began: true, Parts: parts})
+		got = append(got, sound(100))
+	}
+	if diff := cmp.Diff([]int{0, 1, 1}, got); diff != "" {
+		t.Errorf("reports before evidence and after each end of an engine (-want +got):\n%s", diff)
+	}
+}
+
 func ExampleQuarantine() {
 	q := endpoint.NewQuarantine()
 	now := time.Unix(0, 0)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -41,8 +41,9 @@
 
 // storedPart is the record of a quarantined part in the store. Its key is the part in hexadecimal digits.
 type storedPart struct {
-	Revision int `json:"revision"`
-	Trials   int `json:"trials"`
+	Revision int  `json:"revision"`
+	Trials   int  `json:"trials"`
+	WasSound bool `json:"wasSound"`
 }
 
 // partLog keeps the quarantine in the platform's store, where it outlasts the VMs. Every write is conditional on the end of the topic,
@@ -169,7 +170,7 @@
 			continue
 		}
 		l.quarantine.SetState(endpoint.QuarantinedPart{
-			Part: endpoint.PromptPart(part), Revision: s.Revision, Trials: s.Trials, ChangedAt: time.Now(), Stored: true,
+			Part: endpoint.PromptPart(part), Revision: s.Revision, Trials: s.Trials, WasSound: s.WasSound, ChangedAt: time.Now(), Stored: true,
 		})
 	}
 	return nil
@@ -225,7 +226,7 @@
 	var value []byte // a part that is released needs no record
 	if !p.Released {
 		var err error
-		if value, err = json.Marshal(storedPart{Revision: p.Revision, Trials: p.Trials}); err != nil {
+		if value, err = json.Marshal(storedPart{Revision: p.Revision, Trials: p.Trials, WasSound: p.WasSound}); err != nil {
 			return err
 		}
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -58,6 +58,7 @@
 	Age      int64 // milliseconds since the state changed
 	Released bool
 	Stored   bool
+	WasSound bool
 }
 
 // encodeQuarantine splits reports into parts of about bytesPerMessage.
@@ -88,7 +89,7 @@
 	for _, p := range r.Quarantined {
 		m := next(itemBytes)
 		m.Quarantined = append(m.Quarantined, quarantinedPart{
-			Part: uint64(p.Part), Revision: p.Revision, Trials: p.Trials, Age: now.Sub(p.ChangedAt).Milliseconds(), Released: p.Released, Stored: p.Stored,
+			Part: uint64(p.Part), Revision: p.Revision, Trials: p.Trials, Age: now.Sub(p.ChangedAt).Milliseconds(), Released: p.Released, Stored: p.Stored, WasSound: p.WasSound,
 		})
 	}
 	return out
@@ -110,6 +111,7 @@
 	for _, p := range m.Quarantined {
 		r.Quarantined = append(r.Quarantined, endpoint.QuarantinedPart{
 			Part: endpoint.PromptPart(p.Part), Revision: p.Revision, Trials: p.Trials, ChangedAt: ago(p.Age), Released: p.Released, Stored: p.Stored,
+			WasSound: p.WasSound,
 		})
 	}
 	return r
