forward, endpoint, peer: Mend what a second reading found

A part whose release reached a VM without the report that it was sound would have been quarantined again by its old evidence; a release now says so itself. Probes of engines that may have ended are not started after Close, which waits for them. The handler of peers' fetches keeps only the compressed form of its last response.

--- a/endpoint/quarantine.go
+++ b/endpoint/quarantine.go
@@ -109,8 +109,8 @@
 // to each other. A part is quarantined once it was present at the ends of several engines, while no prompt with it was answered since
 // the first of them. If several parts were, the one that was never known to be sound is, or else the one that was present on the most
 // engines, or else the one with the fewest prompts, because a part that crashes engines often follows one that many sound prompts share.
-// Other prompts on these engines are not blamed for these ends any more. From time to time a single prompt of the deployment with a quarantined part is let through; if it is answered, the part is
-// released.
+// Other prompts on these engines are not blamed for these ends any more. From time to time a single prompt of the deployment with a
+// quarantined part is let through; if it is answered, the part is released.
 //
 // It is safe for concurrent use.
 type Quarantine struct {
@@ -380,6 +380,9 @@
 		delete(q.quarantined, oldest)
 	}
 	q.quarantined[p.Part] = p
+	if p.Released {
+		q.addSoundLocked(SoundPart{Part: p.Part, At: p.ChangedAt})
+	}
 	q.fresh[p.Part] = true
 	q.undecided = true // ends that a part in quarantine explained may count again
 	q.signalLocked()
@@ -398,8 +401,8 @@
 	}
 }
 
-// decideLocked quarantines the parts for which there is enough evidence and returns the changes. After each one it weighs the rest of
-// the evidence again, without the prompts that have a quarantined part.
+// decideLocked quarantines the parts for which there is enough evidence and returns the changes. After each one it weighs the evidence
+// again.
 func (q *Quarantine) decideLocked(now time.Time) []change {
 	q.suspects = slices.DeleteFunc(q.suspects, func(s SuspectPrompt) bool { return now.Sub(s.EndedAt) > evidenceTTL })
 	if !q.undecided {
--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -200,6 +200,7 @@
 		"engines end for other reasons": with(func(l *quarantineLoad) { l.racks = []float64{2, 5, 6.5, 8, 20} }),
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(5) {
 				run := l.run(seed)
 				for part, n := range run.late {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -63,7 +63,10 @@
 	quarantine *endpoint.Quarantine // nil if no prompt is quarantined
 	trials     Trials
 	dial       func(ctx context.Context, network, address string) (net.Conn, error)
-	background sync.WaitGroup // probes of engines that may have ended
+
+	mu         sync.Mutex
+	closed     bool
+	background sync.WaitGroup // probes of engines that may have ended; none are started once closed is set
 }
 
 // Option configures a Handler.
@@ -282,8 +285,20 @@
 	})
 }
 
+// inBackground runs f in a goroutine that Close waits for. It does nothing after Close.
+func (h *Handler) inBackground(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.closed {
+		h.background.Go(f)
+	}
+}
+
 // Close closes idle connections to endpoints and waits for probes.
 func (h *Handler) Close() {
+	h.mu.Lock()
+	h.closed = true
+	h.mu.Unlock()
 	h.background.Wait()
 	h.pooled.CloseIdleConnections()
 	h.unpooled.CloseIdleConnections()
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -105,7 +105,7 @@
 	}
 	s := endpoint.SuspectPrompt{Endpoint: endpoint.KeyOf(target.ID), EndedAt: time.Now(), Began: !p.beganAt.IsZero(), Parts: call.SharedParts}
 	logger := p.q.log()
-	h.background.Go(func() {
+	h.inBackground(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endedProbeTimeout)
 		defer cancel()
 		conn, err := h.dial(ctx, "tcp", target.Address)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -171,12 +171,8 @@
 
 // SendRecords sends records of a topic to all reachable VMs.
 func (x *Exchange) SendRecords(topic uint8, from, end int64, age time.Duration, records []oplog.TopicRecord) {
-	size := 0
-	for _, r := range records {
-		size += len(r.Key) + len(r.Value) + 16
-	}
 	batch := recordBatch{Topic: topic, From: from, End: end, Age: age.Milliseconds(), Records: encodeRecords(records)}
-	if size > bytesPerMessage {
+	if recordsSize(records) > bytesPerMessage {
 		// The records are too large for a datagram. Receivers detect that they lack the records before From and fetch them.
 		batch.From, batch.Records = end, nil
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -246,6 +246,15 @@
 	return out
 }
 
+// recordsSize returns an upper bound of the encoded size of the records.
+func recordsSize(records []oplog.TopicRecord) int {
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value) + 16
+	}
+	return size
+}
+
 func encodeRecords(records []oplog.TopicRecord) []record {
 	out := make([]record, len(records))
 	for i, r := range records {
--- a/peer/records.go
+++ b/peer/records.go
@@ -48,12 +48,11 @@
 	last encodedRecords
 }
 
-// encodedRecords is the encoded response for a range of a topic. It serves the peers that lack the same records.
+// encodedRecords is the compressed response for a range of a topic. It serves the peers that lack the same records.
 type encodedRecords struct {
 	topic     uint8
 	from, end int64
-	plain     []byte
-	gzipped   []byte // nil if the response is too short for compression
+	data      []byte
 }
 
 // RecordsHandler returns a handler that serves records to peers that lack them.
@@ -86,49 +85,50 @@
 		http.Error(w, "this VM has no complete copy of the topic yet", http.StatusServiceUnavailable)
 		return
 	}
-	body, err := h.encode(uint8(topic), from, end, age, list)
+	var data []byte
+	if accepted := r.Header.Get("Accept-Encoding"); recordsSize(list) >= minCompressedBytes && strings.Contains(accepted, "gzip") {
+		w.Header().Set("Content-Encoding", "gzip")
+		data, err = h.compressed(uint8(topic), from, end, age, list)
+	} else {
+		data, err = encodeResponse(end, age, list)
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
 	w.Header().Set(headerAge, strconv.FormatInt(age.Milliseconds(), 10))
-	data := body.plain
-	if body.gzipped != nil && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		w.Header().Set("Content-Encoding", "gzip")
-		data = body.gzipped
-	}
 	_, _ = w.Write(data) // a peer whose connection broke fetches again
 }
 
-// encode returns the encoded response, which may be that of an earlier request for the same range.
-func (h *recordsHandler) encode(topic uint8, from, end int64, age time.Duration, list []oplog.TopicRecord) (encodedRecords, error) {
+func encodeResponse(end int64, age time.Duration, list []oplog.TopicRecord) ([]byte, error) {
+	return cbor.Marshal(recordsResponse{Records: encodeRecords(list), End: end, Age: age.Milliseconds()})
+}
+
+// compressed returns the compressed response, which may be that of an earlier request for the same range.
+func (h *recordsHandler) compressed(topic uint8, from, end int64, age time.Duration, list []oplog.TopicRecord) ([]byte, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.last.plain != nil && h.last.topic == topic && h.last.from == from && h.last.end == end {
-		return h.last, nil
+	if h.last.data != nil && h.last.topic == topic && h.last.from == from && h.last.end == end {
+		return h.last.data, nil
 	}
-	data, err := cbor.Marshal(recordsResponse{Records: encodeRecords(list), End: end, Age: age.Milliseconds()})
+	data, err := encodeResponse(end, age, list)
 	if err != nil {
-		return encodedRecords{}, err
-	}
-	e := encodedRecords{topic: topic, from: from, end: end, plain: data}
-	if len(data) >= minCompressedBytes {
-		var buf bytes.Buffer
-		z, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
-		if err != nil {
-			return encodedRecords{}, err
-		}
-		if _, err := z.Write(data); err != nil {
-			return encodedRecords{}, err
-		}
-		if err := z.Close(); err != nil {
-			return encodedRecords{}, err
-		}
-		e.gzipped = buf.Bytes()
+		return nil, err
+	}
+	var buf bytes.Buffer
+	z, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := z.Write(data); err != nil {
+		return nil, err
+	}
+	if err := z.Close(); err != nil {
+		return nil, err
 	}
-	h.last = e
-	return e, nil
+	h.last = encodedRecords{topic: topic, from: from, end: end, data: buf.Bytes()}
+	return h.last.data, nil
 }
 
 // Fetcher fetches records from peers. It is safe for concurrent use.
