--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -199,27 +199,27 @@
 		"lost messages":                 with(func(l *quarantineLoad) { l.loss = 0.2 }),
 		"engines end for other reasons": with(func(l *quarantineLoad) { l.racks = []float64{2, 5, 6.5, 8, 20} }),
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			for seed := range uint64(5) {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				t.Parallel()
 				run := l.run(seed)
 				for part, n := range run.late {
 					if n > 3 {
-						t.Errorf("seed %d: %d prompts with part %d were sent later than %v after the fifth end, want at most 3 (%d ends in all)", seed, n, part, stabilityWindow, run.ends)
+						t.Errorf("%d prompts with part %d were sent later than %v after the fifth end, want at most 3 (%d ends in all)", n, part, stabilityWindow, run.ends)
 					}
 				}
 				for first, refused := range run.refused {
 					if sent := run.sent[first]; sent+refused >= 20 && refused > sent {
-						t.Errorf("seed %d: %d of %d sound prompts with first part %d were refused", seed, refused, sent+refused, first)
+						t.Errorf("%d of %d sound prompts with first part %d were refused", refused, sent+refused, first)
 					}
 				}
 				for part := range l.parts {
 					if !slices.Contains(run.blocked, endpoint.PromptPart(1+part)) {
-						t.Errorf("seed %d: part %d is not in quarantine in the end, only %v", seed, part, run.blocked)
+						t.Errorf("part %d is not in quarantine in the end, only %v", part, run.blocked)
 					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
