endpoint, peer: Test what mutations of the quarantine showed as untested

Decisions before the reports of all VMs are in, bystanders that are blamed for ends that a part in quarantine explains, and states that only heartbeats carry to a VM that starts later. Each of these mutations passed the tests before and fails now.

--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -266,6 +266,51 @@
 	}
 }
 
+// TestEvidenceOfOneEndIsWeighedTogether guards against a decision before the reports of all VMs are in: the report of a sound prompt at the
+// third end arrives first, and its part would be blamed in place of the one that crashes engines.
+func TestEvidenceOfOneEndIsWeighedTogether(t *testing.T) {
+	q := endpoint.NewQuarantine()
+	const common, crashing = endpoint.PromptPart(1), endpoint.PromptPart(2)
+	now := time.Unix(1000, 0)
+	q.ReportSound(now, []endpoint.PromptPart{common})
+	end := func(engine int, parts ...endpoint.PromptPart) {
+		q.ReportEnd(endpoint.SuspectPrompt{Endpoint: endpoint.Key(engine), EndedAt: now, Began: true, Parts: parts})
+	}
+	for engine := range 2 {
+		now = now.Add(time.Second)
+		end(engine, common, crashing)
+	}
+	now = now.Add(time.Second)
+	end(2, common)
+	q.Decide(now.Add(10 * time.Millisecond))
+	end(2, common, crashing)
+	q.Decide(now.Add(300 * time.Millisecond))
+	if diff := cmp.Diff([]endpoint.PromptPart{crashing}, q.Blocked([]endpoint.PromptPart{common, crashing})); diff != "" {
+		t.Errorf("parts in quarantine (-want +got):\n%s", diff)
+	}
+}
+
+// TestBystandersAreNotBlamed guards against a sound part that is blamed for ends that a part in quarantine explains, because prompts with
+// it ran on the same engines.
+func TestBystandersAreNotBlamed(t *testing.T) {
+	q := endpoint.NewQuarantine()
+	const bystander, crashing = endpoint.PromptPart(1), endpoint.PromptPart(2)
+	now := time.Unix(1000, 0)
+	for engine := range 6 {
+		now = now.Add(time.Second)
+		if engine < 4 {
+			q.ReportEnd(endpoint.SuspectPrompt{Endpoint: endpoint.Key(engine), EndedAt: now, Began: true, Parts: []endpoint.PromptPart{crashing}})
+		}
+		if engine > 0 {
+			q.ReportEnd(endpoint.SuspectPrompt{Endpoint: endpoint.Key(engine), EndedAt: now, Began: true, Parts: []endpoint.PromptPart{bystander}})
+		}
+		q.Decide(now.Add(300 * time.Millisecond))
+	}
+	if diff := cmp.Diff([]endpoint.PromptPart{crashing}, q.Blocked([]endpoint.PromptPart{bystander, crashing})); diff != "" {
+		t.Errorf("parts in quarantine (-want +got):\n%s", diff)
+	}
+}
+
 // TestSoundPartsAreReportedOnce guards against a message to all VMs for each answer while evidence is kept.
 func TestSoundPartsAreReportedOnce(t *testing.T) {
 	q := endpoint.NewQuarantine()
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -169,6 +169,9 @@
 			t.Errorf("%d parts are in quarantine, want 1", len(blocked))
 		}
 	}
+	late := newVM(t)
+	late.exchange.AddPeers([]string{a.address})
+	await(t, "a VM that starts later has the part in quarantine", func() bool { return len(late.parts.Blocked([]endpoint.PromptPart{7})) == 1 })
 	p, _ := a.parts.State(7)
 	p.Revision, p.Released = p.Revision+1, true
 	a.parts.SetState(p)
