--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -26,12 +26,12 @@
 
 // quarantineRun is the outcome of a simulated load.
 type quarantineRun struct {
-	ends     int                   // ends of engines under prompts with a part that ends them
-	late     map[int]int           // prompts by such part that were sent more than 3 s after the fifth end under it
-	sent     map[int]int           // sound prompts by first part that were sent more than 6 s after the fifth end
-	refused  map[int]int           // sound prompts by first part that were refused in that time
-	blocked  []endpoint.PromptPart // parts in quarantine in the end
-	isolated int                   // sound prompts that were refused in all
+	ends         int                   // ends of engines under prompts with a part that ends them
+	late         map[int]int           // prompts by such part that were sent more than 3 s after the fifth end under it
+	sent         map[int]int           // sound prompts by first part that were sent more than 6 s after the fifth end
+	refused      map[int]int           // sound prompts by first part that were refused in that time
+	blocked      []endpoint.PromptPart // parts in quarantine in the end
+	refusedTotal int                   // sound prompts that were refused in all
 }
 
 const (
@@ -41,10 +41,11 @@
 
 // simulatedPrompt is a prompt at an engine.
 type simulatedPrompt struct {
-	vm, engine, first, deadly int // deadly is -1 for a sound prompt
-	parts                     []endpoint.PromptPart
-	beginsAt                  time.Time
-	reported, retried, trial  bool
+	vm, engine, first        int
+	crashing                 int // number of its part that ends engines, -1 for a sound prompt
+	parts                    []endpoint.PromptPart
+	beginsAt                 time.Time
+	reported, retried, trial bool
 }
 
 // run simulates the load for 40 s. VMs exchange reports after each step and heartbeats every 300 ms.
@@ -66,8 +67,8 @@
 			part := blocked[0]
 			wait, state, _ := q.UntilTrial(now, part)
 			if wait > 0 || state.Trials != trials[part] || p.retried || len(blocked) > 1 {
-				if p.deadly < 0 {
-					out.isolated++
+				if p.crashing < 0 {
+					out.refusedTotal++
 					if !fifthAt[0].IsZero() && now.Sub(fifthAt[0]) > 2*stabilityWindow {
 						out.refused[p.first]++
 					}
@@ -79,10 +80,10 @@
 			q.SetState(state)
 			p.trial = true
 		}
-		if p.deadly >= 0 && !fifthAt[p.deadly].IsZero() && now.Sub(fifthAt[p.deadly]) > stabilityWindow {
-			out.late[p.deadly]++
+		if p.crashing >= 0 && !fifthAt[p.crashing].IsZero() && now.Sub(fifthAt[p.crashing]) > stabilityWindow {
+			out.late[p.crashing]++
 		}
-		if p.deadly < 0 && !p.retried && !fifthAt[0].IsZero() && now.Sub(fifthAt[0]) > 2*stabilityWindow {
+		if p.crashing < 0 && !p.retried && !fifthAt[0].IsZero() && now.Sub(fifthAt[0]) > 2*stabilityWindow {
 			out.sent[p.first]++
 		}
 		for range 50 {
@@ -122,21 +123,21 @@
 			if r.Float64() >= n {
 				break
 			}
-			p := &simulatedPrompt{vm: r.IntN(l.vms), deadly: -1, first: int(float64(l.firstParts) * r.Float64() * r.Float64())}
+			p := &simulatedPrompt{vm: r.IntN(l.vms), crashing: -1, first: int(float64(l.firstParts) * r.Float64() * r.Float64())}
 			p.parts = []endpoint.PromptPart{endpoint.PromptPart(1000 + p.first)}
 			if l.parts > 0 && r.Float64() < l.share {
-				p.deadly = r.IntN(l.parts)
-				p.parts = append(p.parts, endpoint.PromptPart(1+p.deadly))
+				p.crashing = r.IntN(l.parts)
+				p.parts = append(p.parts, endpoint.PromptPart(1+p.crashing))
 			}
 			send(now, p)
 		}
 		for _, p := range slices.Clone(running) {
 			began := now.Sub(p.beginsAt)
 			switch {
-			case p.deadly >= 0 && began >= 30*time.Millisecond && now.Sub(start) > l.harmlessFor && slices.Contains(running, p):
+			case p.crashing >= 0 && began >= 30*time.Millisecond && now.Sub(start) > l.harmlessFor && slices.Contains(running, p):
 				out.ends++
-				if endsOf[p.deadly]++; endsOf[p.deadly] == 5 {
-					fifthAt[p.deadly] = now
+				if endsOf[p.crashing]++; endsOf[p.crashing] == 5 {
+					fifthAt[p.crashing] = now
 				}
 				endEngine(now, p.engine)
 			case began >= 300*time.Millisecond && !p.reported:
@@ -229,8 +230,8 @@
 	for seed := range uint64(5) {
 		for _, firstParts := range []int{1, 5, 60} {
 			l := quarantineLoad{vms: 9, engines: 21, perSecond: 43, firstParts: firstParts, racks: []float64{2, 3, 3.5, 5, 6.5, 8, 9.5, 20, 21, 22, 30}}
-			if run := l.run(seed); run.isolated > 0 || len(run.blocked) > 0 {
-				t.Errorf("seed %d, %d first parts: %d sound prompts refused, %v in quarantine", seed, firstParts, run.isolated, run.blocked)
+			if run := l.run(seed); run.refusedTotal > 0 || len(run.blocked) > 0 {
+				t.Errorf("seed %d, %d first parts: %d sound prompts refused, %v in quarantine", seed, firstParts, run.refusedTotal, run.blocked)
 			}
 		}
 	}
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -35,7 +35,7 @@
 	t.released = append(t.released, part)
 }
 
-var taintedPart = endpoint.PromptPartOf("tainted")
+var crashingPart = endpoint.PromptPartOf("crashing")
 
 // counted returns a handler that calls h and counts the requests.
 func counted(n *int, mu *sync.Mutex, h http.HandlerFunc) http.HandlerFunc {
@@ -71,19 +71,19 @@
 		wantRequests int
 		wantReleased int
 	}{
-		"stream":            {part: "tainted", quarantined: since, trials: 1, handler: shortStream, path: "/stream/", wantStatus: 503},
-		"call":              {part: "tainted", quarantined: since, trials: 1, handler: echo, path: "/read/", wantStatus: 503},
+		"stream":            {part: "crashing", quarantined: since, trials: 1, handler: shortStream, path: "/stream/", wantStatus: 503},
+		"call":              {part: "crashing", quarantined: since, trials: 1, handler: echo, path: "/read/", wantStatus: 503},
 		"another part":      {part: "sound", quarantined: since, handler: shortStream, path: "/stream/", wantStatus: 200, wantRequests: 1},
-		"trial":             {part: "tainted", quarantined: since.Add(-time.Hour), trials: 1, handler: shortStream, path: "/stream/", wantStatus: 200, wantRequests: 1, wantReleased: 1},
-		"trial is taken":    {part: "tainted", quarantined: since.Add(-time.Hour), handler: shortStream, path: "/stream/", wantStatus: 503},
-		"trial breaks off":  {part: "tainted", quarantined: since.Add(-time.Hour), trials: 5, handler: raw(""), path: "/stream/", wantStatus: 502, wantRequests: 1},
-		"trial is rejected": {part: "tainted", quarantined: since.Add(-time.Hour), trials: 1, handler: rejectNotRun, path: "/once/", wantStatus: 503, wantRequests: 2},
+		"trial":             {part: "crashing", quarantined: since.Add(-time.Hour), trials: 1, handler: shortStream, path: "/stream/", wantStatus: 200, wantRequests: 1, wantReleased: 1},
+		"trial is taken":    {part: "crashing", quarantined: since.Add(-time.Hour), handler: shortStream, path: "/stream/", wantStatus: 503},
+		"trial breaks off":  {part: "crashing", quarantined: since.Add(-time.Hour), trials: 5, handler: raw(""), path: "/stream/", wantStatus: 502, wantRequests: 1},
+		"trial is rejected": {part: "crashing", quarantined: since.Add(-time.Hour), trials: 1, handler: rejectNotRun, path: "/once/", wantStatus: 503, wantRequests: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var mu sync.Mutex
 			requests := 0
 			q := endpoint.NewQuarantine()
-			q.SetState(endpoint.QuarantinedPart{Part: taintedPart, Revision: 1, ChangedAt: c.quarantined})
+			q.SetState(endpoint.QuarantinedPart{Part: crashingPart, Revision: 1, ChangedAt: c.quarantined})
 			tr := &trials{left: c.trials}
 			h := counted(&requests, &mu, c.handler)
 			s := newSiteWith(t, []forward.Option{forward.WithQuarantine(q, tr)}, h, h)
@@ -144,7 +144,7 @@
 			s.fleet.SetEntry(time.Now(), endpoint.Entry{ID: fmt.Sprint("engine-", i), Service: "desk", Address: l.Addr().String(), DataCentre: "dc", Slots: 4}, 0)
 		}
 		for range 2 {
-			if got, err := s.do("POST", "/stream/", "", headerPart, "tainted"); err == nil && got.Status == 200 {
+			if got, err := s.do("POST", "/stream/", "", headerPart, "crashing"); err == nil && got.Status == 200 {
 				t.Errorf("engines end: %v, framing %q: a stream without events looks complete", c.ends, c.framing)
 			}
 			time.Sleep(200 * time.Millisecond) // separate ends of engines are counted separately
