--- a/forward/call.go
+++ b/forward/call.go
@@ -22,13 +22,14 @@
 	APIKey        string        // "" if there is none
 	TimeLeft      time.Duration // how long the caller still waits, 0 if unknown
 	PromptTokens  int
-	SharedParts   []endpoint.PromptPart // parts of the prompt that other prompts may share, at most MaxSharedParts
+	SharedParts   []endpoint.PromptPart // parts of the prompt that other prompts may share
 	OutputTokens  int                   // upper bound
 	LastEventID   string                // ID of the event after which the caller wants the stream to continue
 	ArrivedAt     time.Time
 }
 
-// MaxSharedParts limits the parts of one prompt that are considered. A report of all of them fits into one datagram between VMs.
+// MaxSharedParts limits the parts of one prompt that are considered for a quarantine. A report of all of them fits into one datagram
+// between VMs.
 const MaxSharedParts = 128
 
 // Attempt describes one send of a call to an endpoint.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -49,8 +49,10 @@
 		c.TimeLeft = d
 	}
 	c.PromptTokens, c.OutputTokens = 1000, 10
-	if id := r.Header.Get(headerPart); id != "" {
-		c.SharedParts = []endpoint.PromptPart{endpoint.PromptPartOf(id)}
+	if ids := r.Header.Get(headerPart); ids != "" {
+		for id := range strings.SplitSeq(ids, ",") {
+			c.SharedParts = append(c.SharedParts, endpoint.PromptPartOf(id))
+		}
 	}
 	return c, nil
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -162,6 +162,7 @@
 		return
 	}
 	call.ArrivedAt = arrived
+	call.SharedParts = consideredParts(call.SharedParts)
 	table := h.table.Load()
 	if table == nil {
 		h.refuse(w, call, customer.Refuse(customer.ReasonNotReady, "no configuration yet", customer.RetryAfter(retryNotReady)))
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -35,6 +36,16 @@
 	return func(h *Handler) { h.quarantine, h.trials = quarantine, trials }
 }
 
+// consideredParts returns the parts of a prompt that are considered: all, or the first and the last ones if there are more than
+// MaxSharedParts.
+func consideredParts(parts []endpoint.PromptPart) []endpoint.PromptPart {
+	const half = MaxSharedParts / 2
+	if len(parts) <= MaxSharedParts {
+		return parts
+	}
+	return slices.Concat(parts[:half], parts[len(parts)-half:])
+}
+
 // checkParts returns a refusal if the prompt has a part in quarantine, unless the prompt is a trial. It is called before each send,
 // because a part may be quarantined while the prompt waits or an attempt runs.
 func (q *request) checkParts() *customer.Refusal {
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -159,3 +159,27 @@
 		}
 	}
 }
+
+// TestPartsOfALongList guards against a prompt with very many parts whose first or last ones are overlooked, or whose report does not fit into
+// a datagram.
+func TestPartsOfALongList(t *testing.T) {
+	const n = 300
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%x", i)
+	}
+	for i := range ids {
+		considered := i < forward.MaxSharedParts/2 || i >= n-forward.MaxSharedParts/2
+		q := endpoint.NewQuarantine()
+		q.SetState(endpoint.QuarantinedPart{Part: endpoint.PromptPartOf(ids[i]), Revision: 1, ChangedAt: time.Now()})
+		s := newSiteWith(t, []forward.Option{forward.WithQuarantine(q, &trials{})}, shortStream)
+		got, err := s.do("POST", "/stream/", "", headerPart, strings.Join(ids, ","))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if refused := got.Status == http.StatusServiceUnavailable; refused != considered {
+			t.Errorf("part %d of %d in quarantine: status %d", i, n, got.Status)
+		}
+		s.server.Close()
+	}
+}
