endpoint, forward: Log what the tries of a waiting prompt saw

The logs could not distinguish prompts that wait behind others from prompts that find too few free engines.

One line at the end of each wait has the number of tries by cause and the most engines that were free. No decision changes.

--- a/endpoint/longprompt.go
+++ b/endpoint/longprompt.go
@@ -66,6 +66,9 @@
 		}
 	}
 	if now.After(wait.StartBy) {
+		if prompt.Waiter != nil {
+			prompt.Waiter.tries.Late++
+		}
 		return f.selectForLate(now, &wait, candidates, prefill, neededTokens, maxEngines, s, prompt)
 	}
 	if f.hasPrecedingLocked(&wait, now, s) {
@@ -74,6 +77,9 @@
 				return chosen, nil
 			}
 		}
+		if prompt.Waiter != nil {
+			prompt.Waiter.tries.Preceded++
+		}
 		return nil, errWait
 	}
 	preferredEngines := min(int((prefill+preferredSegment-1)/preferredSegment), maxEngines)
@@ -99,6 +105,7 @@
 	}
 	startWithin := wait.StartBy.Sub(now) + prompt.Waited
 	if !prompt.givesWay && prompt.Waited < time.Duration(smallSegmentsShare*float64(startWithin)) {
+		prompt.Waiter.recordFewFree(candidates, prefill/time.Duration(maxEngines))
 		return nil, errWait
 	}
 	// Smaller segments on more engines can fit between the events of streams that accept only short token gaps.
@@ -107,6 +114,7 @@
 			return chosen, nil
 		}
 	}
+	prompt.Waiter.recordFewFree(candidates, prefill/time.Duration(maxEngines))
 	return nil, errWait
 }
 
@@ -254,12 +262,17 @@
 	return n
 }
 
+// free reports whether the engine has hardly any prefill to do, is healthy and can prefill a segment without disturbing a stream.
+func (c *candidate) free(segment time.Duration) bool {
+	return c.load.backlog <= maxFreeBacklog && c.member.health.failureRate < failureWeight && c.nonDisruptive(segment)
+}
+
 // freeEngines returns the free and healthy engines whose streams a prefill of one segment does not disturb, in order of increasing
 // load. n is how many of them the prompt needs; see sortByDataCentre.
 func (f *Fleet) freeEngines(candidates []candidate, segment time.Duration, n int, s *Service) []candidate {
 	var free []candidate
 	for _, c := range candidates {
-		if c.load.backlog <= maxFreeBacklog && c.member.health.failureRate < failureWeight && c.nonDisruptive(segment) {
+		if c.free(segment) {
 			c.score = c.load.backlog + time.Duration(c.load.running)*time.Millisecond + time.Duration(f.random()*float64(jitter))
 			free = append(free, c)
 		}
--- a/endpoint/waiting.go
+++ b/endpoint/waiting.go
@@ -21,6 +21,41 @@
 type Waiter struct {
 	fleet *Fleet
 	WaitingPrompt
+	tries Tries
+}
+
+// Tries counts the tries of a waiting prompt to get engines by why they failed.
+type Tries struct {
+	Preceded  int // other prompts preceded it
+	FewFree   int // too few engines were free
+	Late      int // its latest start had passed
+	MostFree  int // most engines that were free at one of the FewFree tries
+	MostOther int // most engines without work at such a try whose streams accept only shorter gaps, or that are slow or failing
+}
+
+// Tries returns the tries so far.
+func (w *Waiter) Tries() Tries {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return w.tries
+}
+
+// recordFewFree records a try that found too few free engines for a prefill in segments of that length.
+func (w *Waiter) recordFewFree(candidates []candidate, segment time.Duration) {
+	if w == nil {
+		return
+	}
+	free, other := 0, 0
+	for i := range candidates {
+		switch c := &candidates[i]; {
+		case c.free(segment):
+			free++
+		case c.load.backlog <= maxFreeBacklog:
+			other++
+		}
+	}
+	w.tries.FewFree++
+	w.tries.MostFree, w.tries.MostOther = max(w.tries.MostFree, free), max(w.tries.MostOther, other)
 }
 
 // precedes reports whether w comes before o in the order of waiting prompts for the engines of s. Prompts that can still meet their
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -192,10 +192,20 @@
 	})
 	if waiter != nil {
 		waiter.Cancel()
+		q.logWait(waiter, sel != nil)
 	}
 	return sel, refusal
 }
 
+// logWait logs the wait of a prompt for engines and what its tries found.
+func (q *request) logWait(waiter *endpoint.Waiter, selected bool) {
+	tries := waiter.Tries()
+	q.log().WithFields(log.Fields{
+		"selected": selected, "callerRetried": q.callerRetried(), "prefillMs": waiter.Prefill.Milliseconds(), "startWithinMs": waiter.StartWithin.Milliseconds(),
+		"preceded": tries.Preceded, "fewFree": tries.FewFree, "late": tries.Late, "mostFree": tries.MostFree, "mostOther": tries.MostOther,
+	}).Info("forward: the prompt waited for engines")
+}
+
 // delivery tracks the part of a stream that has been delivered to the caller.
 type delivery struct {
 	q          *request
