endpoint: Let short prompts leave one batch slot of an engine free

Cause: short prompts filled three quarters of an engine's batch slots before they used the next engine. An engine with even one stream that accepts only short token gaps takes no long segment, so a burst of short prompts took a third more engines than its streams require from the long prompts: 18 to 20 of 45 in the first burst, 64 to 68 of 68 in the second. The waiting prompts saw up to 43 engines without prefill, of which 11 were free for them, and their callers came back to "0 relaxed, 68 strict engines". The class is fragmentation of a shared resource by many small holders.

Services with priorities keep three quarters: TestUrgentPromptsUnderShortage compares them with first fit, which gains more from the setting than they do.

TestShortStreamsLeaveEnginesToALongPrompt fails without the change: 75 short streams run on 7 engines, want at most 5.

--- a/endpoint/explain.go
+++ b/endpoint/explain.go
@@ -139,7 +139,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.services, c.drained, c.delays = f.services, f.drained, f.delays
-	c.rank, c.vms, c.weighDataCentres, c.lastHeard, c.viewAge = f.rank, f.vms, f.weighDataCentres, f.lastHeard, f.viewAge
+	c.rank, c.vms, c.spareSlots, c.weighDataCentres, c.lastHeard, c.viewAge = f.rank, f.vms, f.spareSlots, f.weighDataCentres, f.lastHeard, f.viewAge
 	c.coldFactor, c.coldAllowance = f.coldFactor, f.coldAllowance
 	c.paces.enabled, c.paces.appearances = f.paces.enabled, map[string]*appearances{}
 	maps.Copy(c.enginesIn, f.enginesIn)
--- a/endpoint/fleet.go
+++ b/endpoint/fleet.go
@@ -24,6 +24,7 @@
 	waitingPromptsChanged     bool                          // waiters changed since TakeWaitingPrompts
 	rank, vms                 int                           // position of this VM among the VMs of its cell, and their number; 0 if unknown
 	cells                     cells                         // division of a large deployment
+	spareSlots                int                           // see WithSpareSlots, 0 if not set
 	weighDataCentres          bool                          // see WithDataCentreWeighing
 	delays                    map[[2]string]time.Duration   // one-way delays between data centres, of all services
 	departures                map[departureKey]*Departures  // requests of this VM that left its data centre
--- a/endpoint/placement.go
+++ b/endpoint/placement.go
@@ -22,11 +22,11 @@
 	maxPeersRemembered = 4096
 	// repeatedWithin is the difference of send times up to which two reports of a peer may be of the same request.
 	repeatedWithin = 5 * time.Millisecond
-	// spreadShare is the share of an engine's batch slots that the streams of the prefix use on average, if spreadLimit allows it. The
-	// rest up to slotShare takes the prompts that arrive before the loads of peers do.
-	spreadShare = slotShare / 2
-	// spreadLimit is the share of the engines beyond which the prefix grows only if its streams need more than slotShare of its batch
-	// slots. Without the limit, the prefix took the engines of the long prompts: in a simulation of 45 engines with 150 short
+	// spreadShare is the share of the batch slots for short prompts that the streams of the prefix use on average, if spreadLimit allows it.
+	// The rest takes the prompts that arrive before the loads of peers do.
+	spreadShare = 0.5
+	// spreadLimit is the share of the engines beyond which the prefix grows only if its streams need more than its batch slots for short
+	// prompts. Without the limit, the prefix took the engines of the long prompts: in a simulation of 45 engines with 150 short
 	// prompts a second, 21 of 37 long prompts met their target, and 33 with it.
 	spreadLimit = 0.5
 )
@@ -53,12 +53,12 @@
 	if float64(recent)*max(f.viewAge, loadDelay).Seconds() < spreadArrivals*arrivalWindow.Seconds() {
 		return 0
 	}
-	slots, streams := float64(max(s.Engine.Slots, 1)), float64(running)
+	slots, streams := f.shortSlots(s), float64(running)
 	arrivals := float64(recent) * float64(arrivalHorizon) / float64(arrivalWindow)
 	n := float64(len(candidates))
 	limit := min(spreadLimit*n, max(n-maxHelpers-1, n/3))
 	sparse := min((streams+arrivals)/(spreadShare*slots), limit)
-	return min(int(max(sparse, streams/(slotShare*slots)))+1, len(candidates))
+	return min(int(max(sparse, streams/slots))+1, len(candidates))
 }
 
 // placement is a decision about a short prompt: the engines with their inputs and scores, and the one that was chosen.
--- a/endpoint/select.go
+++ b/endpoint/select.go
@@ -18,8 +18,8 @@
 	gapMargin = 25 * time.Millisecond
 	// defaultGap is the token gap limit of a service if none of its routes declares one.
 	defaultGap = 250 * time.Millisecond
-	// slotShare is the share of an engine's batch slots that short prompts fill before the next engine is used. A full batch
-	// lengthens each step and leaves no slots for requests that another VM sends at the same moment.
+	// slotShare is the share of an engine's batch slots that short prompts fill before the next engine is used, unless WithSpareSlots sets how
+	// many they leave free. A full batch lengthens each step and leaves no slots for requests that another VM sends at the same moment.
 	slotShare = 0.75
 	// failurePenalty is added to the score of an endpoint that fails every request.
 	failurePenalty = 2 * time.Second
@@ -419,12 +419,29 @@
 	return score + time.Duration(f.random()*float64(jitter))
 }
 
+// shortSlots returns how many batch slots of an engine short prompts fill before the next engine is used.
+func (f *Fleet) shortSlots(s *Service) float64 {
+	slots := float64(max(s.Engine.Slots, 1))
+	if f.spareSlots == 0 || s.Prioritised {
+		return slotShare * slots
+	}
+	return max(slots-float64(f.spareSlots), 1)
+}
+
+// WithSpareSlots sets how many batch slots of an engine short prompts leave free before they use the next engine, in place of a quarter.
+// An engine with streams that accept only short token gaps is of little use to long prompts, so the fewer slots are left free, the more
+// engines long prompts find in a burst of short ones. It does not apply to services with priorities, because the room that less urgent
+// prompts leave to urgent ones counts the slots up to slotShare.
+func WithSpareSlots(n int) FleetOption {
+	return func(f *Fleet) { f.spareSlots = n }
+}
+
 // firstFit returns the first engine in the common order that prefills the prompt in its next step without disturbing its streams,
 // or else the one with the best score. While many short prompts arrive, the engine is drawn from a prefix of the order; see
 // placeShort. It returns nil if no single engine has a batch slot and enough free memory. undisturbed
 // reports which of these is the case.
 func (f *Fleet) firstFit(now time.Time, candidates []candidate, prefill time.Duration, neededTokens int, s *Service) (chosen []candidate, undisturbed bool) {
-	maxRunning := int(slotShare * float64(s.Engine.Slots))
+	maxRunning := int(f.shortSlots(s))
 	budget := stepBudget(s)
 	accepts := func(c *candidate) bool {
 		if !c.hasSlot || c.freeTokens < neededTokens {
--- a/endpoint/select_test.go
+++ b/endpoint/select_test.go
@@ -88,6 +88,35 @@
 	}
 }
 
+// TestShortStreamsLeaveEnginesToALongPrompt guards against short streams that occupy more engines than their batch slots require, so that a
+// burst of short prompts leaves too few engines without them and the longest prompts wait in vain.
+func TestShortStreamsLeaveEnginesToALongPrompt(t *testing.T) {
+	const slots, streams, engines = 16, 75, 22 // 75 streams fit on 5 engines with a slot to spare, which leaves 17
+	f := newFleet(engines, endpoint.WithSpareSlots(1))
+	now := start
+	for range streams {
+		mustSelect(t, f, now, shortPrompt).PrefillDone()
+		now = now.Add(100 * time.Millisecond)
+	}
+	used := map[string]int{}
+	for _, l := range f.Loads() {
+		for i := range engines {
+			if id := engineEntry(i).ID; endpoint.KeyOf(id) == l.Endpoint {
+				used[id] = len(l.Requests)
+			}
+		}
+	}
+	if want := (streams + slots - 2) / (slots - 1); len(used) > want {
+		t.Errorf("%d short streams run on %d engines, want at most %d: %v", streams, len(used), want, used)
+	}
+	sel := mustSelect(t, f, now, endpoint.Prompt{Tokens: 300_000, MaxOutput: 900, TTFTTarget: 4 * time.Second, GapLimit: time.Second})
+	for _, id := range selectedEngines(sel) {
+		if used[id] > 0 {
+			t.Errorf("the long prompt is prefilled on %s, which generates short answers", id)
+		}
+	}
+}
+
 // TestSimultaneousShortPromptsSpread guards against many simultaneous short prompts in one step, whose prefills exceed the token
 // gap that the callers accept.
 func TestSimultaneousShortPromptsSpread(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,9 @@
 	if s.WeighDataCentres() {
 		fleetOptions = append(fleetOptions, endpoint.WithDataCentreWeighing())
 	}
+	if n := s.SpareSlots(); n > 0 {
+		fleetOptions = append(fleetOptions, endpoint.WithSpareSlots(n))
+	}
 	g.fleet = endpoint.NewFleet(fleetOptions...)
 	g.fleet.SetVMs(0, 0) // unknown until the VMs' records have been read
 	g.retryBudget = endpoint.NewRetryBudget(s.RetryRatio(), s.RetryAllowance(), s.RetryWindow())
--- a/operator/gateway.go
+++ b/operator/gateway.go
@@ -29,6 +29,7 @@
 	contracts                          []string
 	fairShares                         bool
 	learnPaces, weighDataCentres       bool
+	spareSlots                         int
 }
 
 // gatewaySections are the sections of a gateway's settings file. Only such a file has the first one.
@@ -40,6 +41,9 @@
 	MaxDescriptors = 1 << 20
 )
 
+// maxSpareSlots bounds the setting spareSlots.
+const maxSpareSlots = 1024
+
 // Defaults of the settings that the platform may leave out, and the upper bound of all durations.
 const (
 	defaultConfigurationDelay = 2 * time.Second
@@ -119,6 +123,7 @@
 	placement := f.section("placement")
 	s.learnPaces = placement.flag("learnPaces")
 	s.weighDataCentres = placement.flag("weighDataCentres")
+	s.spareSlots = placement.integer("spareSlots", 1, maxSpareSlots, false, 0)
 
 	for _, section := range []*iniSection{gateway, caller, peer, limits, sharing, placement} {
 		section.reportUnknownKeys()
@@ -193,6 +198,9 @@
 // WeighDataCentres reports whether the VM weighs the cost of using endpoints of other data centres.
 func (s *GatewaySettings) WeighDataCentres() bool { return s.weighDataCentres }
 
+// SpareSlots returns how many batch slots of an engine short prompts leave free before they use the next engine, 0 for a quarter of them.
+func (s *GatewaySettings) SpareSlots() int { return s.spareSlots }
+
 // ConfigurationDelay returns the time within which a configuration change has to take effect.
 func (s *GatewaySettings) ConfigurationDelay() time.Duration { return s.configurationDelay }
 
