forward: Treat an answer that ends right behind its head as broken off

Callers saw, by a report of other operators: a worker stopped in the head of its answer and closed, and they got a 200 with an empty or short body, framed as whole (MIXED, ORDER).

Reproduced on real sockets, each cut of the head, with a length, with chunks and to the end of the connection, closed, reset and in two packets, on fresh and kept connections. A cut within the head was always an error. A cut right behind a head without length and chunks was a whole answer: plain routes gave 200 with an empty body, a stream that a caller resumed gave an empty 200, and a stream that the VM resumed ended as complete after "id: 1" of two events.

Cause: the end of the connection was taken for the end of the body although nothing of the body had come. The guard for streams without any event did not apply to resumed ones.

Change: if only the end of the connection marks the end of the body, a success needs a body, and an attempt of a stream needs an event. Both are then broken off: repeatable requests go to another endpoint, others get 502. A stream that is resumed behind its last event without length and chunks is broken off too, because nothing tells it from a cut one.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -89,6 +89,9 @@
 			b := q.newBuffer()
 			err = b.readFrom(resp.Body, maxAnswerBytes)
 			body = b.data
+			if err == nil && len(body) == 0 && head.Status < 300 && endsWithConnection(resp) {
+				err = errNoBody
+			}
 		}
 		resp.Body.Close() // closes the connection if the body was not read
 		if err != nil {
@@ -116,6 +119,15 @@
 	return head, body, refusal
 }
 
+// errNoBody is the error for an answer whose connection ended right behind its head.
+var errNoBody = errors.New("the connection ended before the body of the answer")
+
+// endsWithConnection reports whether only the end of the connection marks the end of the answer's body. If nothing was received before that,
+// the endpoint may have stopped before it wrote the body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
 // attemptContext limits the time of an attempt if the request can be sent to another endpoint after it.
 func (q *request) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if !q.route.Kind.Repeatable() || q.sends+1 >= q.route.MaxAttempts {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -44,7 +44,7 @@
 type codec struct{}
 
 func (codec) DecodeCall(r *http.Request) (*forward.Call, error) {
-	c := &forward.Call{ID: r.Header.Get(headerID), Host: r.Host, Path: r.URL.Path, RequestTarget: r.RequestURI, Method: r.Method, Header: http.Header{}, APIKey: r.Header.Get("X-Key")}
+	c := &forward.Call{ID: r.Header.Get(headerID), LastEventID: r.Header.Get(headerLastEvent), Host: r.Host, Path: r.URL.Path, RequestTarget: r.RequestURI, Method: r.Method, Header: http.Header{}, APIKey: r.Header.Get("X-Key")}
 	if v := r.Header.Get(headerTimeLimit); v != "" {
 		d, err := time.ParseDuration(v)
 		if err != nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -279,7 +279,7 @@
 		return head, body, failure
 	}
 	progress.began()
-	err := d.copyEvents(head, resp.Body, sel, func() {
+	err := d.copyEvents(head, resp, sel, func() {
 		watchdog.progress()
 		progress.goesOn(false)
 		use.event(time.Now())
@@ -365,9 +365,11 @@
 var errSilent = errors.New("the endpoint is silent")
 
 // copyEvents delivers complete events until the end of the stream and calls progress for each of them. The first event shows that
-// the prefill is done.
-func (d *delivery) copyEvents(head AnswerHead, body io.Reader, sel *endpoint.Selection, progress func()) error {
-	r := bufio.NewReader(body)
+// the prefill is done. A resumed stream may have no event left, but only if its end is marked.
+func (d *delivery) copyEvents(head AnswerHead, resp *http.Response, sel *endpoint.Selection, progress func()) error {
+	r := bufio.NewReader(resp.Body)
+	endsWithConnection := endsWithConnection(resp)
+	mayBeEmpty := (d.lastID != "" || d.events > 0) && !endsWithConnection
 	buf := buffer{m: d.q.h.memory}
 	defer buf.free()
 	for {
@@ -379,7 +381,7 @@
 		switch {
 		case err == bufio.ErrBufferFull && len(event) <= maxEventBytes:
 			continue
-		case err == io.EOF && len(event) == 0 && d.lastID == "" && d.events == 0:
+		case err == io.EOF && len(event) == 0 && !mayBeEmpty:
 			return errors.New("the stream ended before its first event")
 		case err == io.EOF && len(event) == 0:
 			if !d.q.started {
@@ -400,6 +402,7 @@
 			return err
 		}
 		now := time.Now()
+		mayBeEmpty = mayBeEmpty || !endsWithConnection || hasField(event)
 		if hasField(event) {
 			progress()
 			d.recordEvent(now)
