endpoint: Blame prompts whose answers had not begun for the end of an engine

Cause: if an engine ends before the whole head of the answer is out, its VM reports the prompt as not begun. On a busy engine some other prompt has begun within the last 300 ms, and the evidence of such an end left out all prompts that had not begun, so it left out the one to blame at each of these ends. The class is evidence that is filtered by a guess about the cause.

Change: all prompts at the end of an engine count. Sound ones are cleared by later answers, as before.

TestPartsThatEndEngines has eight loads with ends inside the head, on 9 and 62 VMs.

--- a/endpoint/quarantine.go
+++ b/endpoint/quarantine.go
@@ -105,8 +105,9 @@
 
 // Quarantine finds the parts of prompts under which engines end and keeps prompts with these parts from all engines.
 //
-// When an engine ends, the cause may be any part of the prompts that it had just begun to answer, or none. VMs report these prompts
-// to each other. A part is quarantined once it was present at the ends of several engines, while no prompt with it was answered since
+// When an engine ends, the cause may be any part of the prompts that it had just begun to answer or was about to, or none. Whether the
+// answer had begun tells nothing: an engine can end before the whole head of the answer is out, while other answers go on. VMs report these
+// prompts to each other. A part is quarantined once it was present at the ends of several engines, while no prompt with it was answered since
 // the first of them. If several parts were, the one that was never known to be sound is, or else the one that was present on the most
 // engines, or else the one with the fewest prompts, because a part that crashes engines often follows one that many sound prompts share.
 // Other prompts on these engines are not blamed for these ends any more. From time to time a single prompt of the deployment with a
@@ -475,7 +476,6 @@
 		if now.Sub(e.at) < settleTime {
 			continue
 		}
-		began := slices.ContainsFunc(e.prompts, func(s SuspectPrompt) bool { return s.Began })
 		present := map[PromptPart]int{}
 		type presence struct {
 			part     PromptPart
@@ -483,9 +483,6 @@
 		}
 		engines := map[presence]bool{}
 		for _, s := range e.prompts {
-			if began && !s.Began {
-				continue // the engine ended under a prompt that it had begun to answer
-			}
 			if e.explained && !q.quarantinedLocked(s) {
 				continue
 			}
--- a/endpoint/quarantine_test.go
+++ b/endpoint/quarantine_test.go
@@ -21,6 +21,7 @@
 	harmlessFor  time.Duration // time for which these parts are sound
 	firstParts   int           // first parts that prompts share
 	loss         float64       // share of messages between VMs that are lost
+	inHead       float64       // share of the ends that come before the whole head of the answer is out
 	racks        []float64     // seconds at which a quarter of the engines ends for another reason
 }
 
@@ -46,6 +47,7 @@
 	parts                    []endpoint.PromptPart
 	beginsAt                 time.Time
 	reported, retried, trial bool
+	inHead                   bool // its engine ends before the whole head of the answer is out
 }
 
 // run simulates the load for 40 s. VMs exchange reports after each step and heartbeats every 300 ms.
@@ -92,6 +94,7 @@
 			}
 		}
 		p.beginsAt = now.Add(time.Duration(80+r.IntN(200)) * time.Millisecond)
+		p.inHead = l.inHead > 0 && r.Float64() < l.inHead
 		running = append(running, p)
 	}
 	endEngine := func(now time.Time, engine int) {
@@ -134,7 +137,7 @@
 		for _, p := range slices.Clone(running) {
 			began := now.Sub(p.beginsAt)
 			switch {
-			case p.crashing >= 0 && began >= 30*time.Millisecond && now.Sub(start) > l.harmlessFor && slices.Contains(running, p):
+			case p.crashing >= 0 && (began >= 30*time.Millisecond || p.inHead && began >= -tick) && now.Sub(start) > l.harmlessFor && slices.Contains(running, p):
 				out.ends++
 				if endsOf[p.crashing]++; endsOf[p.crashing] == 5 {
 					fifthAt[p.crashing] = now
@@ -198,6 +201,14 @@
 		"few prompts":                   with(func(l *quarantineLoad) { l.share = 0.012 }),
 		"many prompts":                  with(func(l *quarantineLoad) { l.share = 0.2 }),
 		"lost messages":                 with(func(l *quarantineLoad) { l.loss = 0.2 }),
+		"ends inside the head":          with(func(l *quarantineLoad) { l.inHead = 1 }),
+		"most ends inside the head":     with(func(l *quarantineLoad) { l.inHead = 0.8 }),
+		"half of the ends inside it":    with(func(l *quarantineLoad) { l.inHead = 0.5 }),
+		"one first part, in the head":   with(func(l *quarantineLoad) { l.inHead, l.firstParts = 1, 1 }),
+		"few prompts, in the head":      with(func(l *quarantineLoad) { l.inHead, l.share = 1, 0.012 }),
+		"lost messages, in the head":    with(func(l *quarantineLoad) { l.inHead, l.loss = 1, 0.2 }),
+		"grown site, in the head":       {vms: 62, engines: 69, perSecond: 111, share: 0.05, parts: 1, firstParts: 60, inHead: 1},
+		"busy engines, in the head":     with(func(l *quarantineLoad) { l.inHead, l.perSecond, l.share = 1, 120, 0.02 }),
 		"engines end for other reasons": with(func(l *quarantineLoad) { l.racks = []float64{2, 5, 6.5, 8, 20} }),
 	} {
 		for seed := range uint64(5) {
