http1: Treat a response that ends right behind its header as broken off

The same cause as in package forward, on the path of the product's own listener to plain services and to operators: a response without length and chunks whose connection ended right behind the header was a success with an empty body.

ReadBody returns ErrNoBody for it, which counts as an answer that may have run. Streams of engines are not affected: they need their end marker.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -113,6 +113,13 @@
 	return c, nil
 }
 
+// ErrNoBody is returned for a success whose connection ended right behind its header, if only the end of the connection marks the end of the
+// body. The server may have stopped before it wrote the body.
+var ErrNoBody = errors.New("the connection ended before the body of the response")
+
+// identityLength is what fasthttp returns as the length of a body that ends with its connection.
+const identityLength = -2
+
 // ErrBodyTooLong is returned for a body that exceeds the limit.
 var ErrBodyTooLong = errors.New("body is longer than the limit")
 
@@ -137,6 +144,8 @@
 		return nil, err
 	case len(body) > limit:
 		return nil, ErrBodyTooLong
+	case len(body) == 0 && resp.Header.ContentLength() == identityLength && resp.StatusCode() < 300 && resp.StatusCode() != fasthttp.StatusNoContent:
+		return nil, ErrNoBody
 	}
 	return body, nil
 }
