endpoint: Accept longer segments near the latest start of a prompt

Cause: while other prompts wait, segments are limited to 600 ms up to the latest start, although a prompt that does not start then is refused.

Change: in the last 0.3 of the time to its latest start, a prompt accepts segments of up to 1 s on engines whose streams accept them, if the target is still met. TestPromptNearItsLatestStartTakesFewerEngines fails without it.

--- a/endpoint/longprompt.go
+++ b/endpoint/longprompt.go
@@ -15,6 +15,10 @@
 	// longestSegment bounds a segment if few engines are free. Short prompts that find no other engine wait until the segment
 	// ends.
 	longestSegment = 600 * time.Millisecond
+	// finalShare is the share of the time from arrival to latest start at the end of which a prompt accepts segments of up to finalSegment:
+	// it is refused soon if it does not find engines.
+	finalShare   = 0.3
+	finalSegment = time.Second
 	// maxFreeBacklog is the largest backlog of an engine that counts as free. Engines prefill the segments that they help with
 	// before their own prompts, so a prompt sent to a busy engine can wait for a long time.
 	maxFreeBacklog = 40 * time.Millisecond
@@ -86,6 +90,8 @@
 	maxSegment := longestSegment
 	if prompt.givesWay || !f.anyOtherWaitingLocked(&wait) {
 		maxSegment = forcedSegment
+	} else if wait.StartBy.Sub(now) < time.Duration(finalShare*float64(wait.StartWithin)) {
+		maxSegment = finalSegment
 	}
 	// Segments of up to preferredSegment are tried first, then longer segments on fewer engines.
 	for n := preferredEngines; n >= 1; n-- {
--- a/endpoint/select_test.go
+++ b/endpoint/select_test.go
@@ -296,6 +296,46 @@
 	}
 }
 
+// TestPromptNearItsLatestStartTakesFewerEngines guards against a prompt that waits beside free engines until its target is missed, because
+// its segments on as few engines would be a little too long while other prompts wait.
+func TestPromptNearItsLatestStartTakesFewerEngines(t *testing.T) {
+	const engines, free = 20, 5
+	f, peer := newFleet(engines), newFleet(engines)
+	longer := longPrompt
+	longer.Tokens = 300_000
+	peer.NewWaiter(start, model, longer)
+	waiting, _ := peer.TakeWaitingPrompts()
+	update := func(now time.Time) {
+		var loads []endpoint.Load
+		for i := range engines - free {
+			short := endpoint.Work{SentAt: start, Decoding: true, GapLimit: 250 * time.Millisecond}
+			loads = append(loads, endpoint.Load{Endpoint: endpoint.KeyOf(engineEntry(i).ID), Requests: []endpoint.Work{short}})
+		}
+		f.MergeLoads(now, "peer", loads)
+		f.MergeWaitingPrompts(now, "peer", waiting)
+	}
+	update(start)
+	prompt := longPrompt
+	prompt.Tokens = 170_000 // needs 7 engines for segments of 600 ms, and 17 without streams of short prompts for smaller ones
+	prompt.Waiter = mustWait(t, f, start, prompt)
+	now := start.Add(time.Second)
+	update(now)
+	prompt.Waited = now.Sub(start)
+	if _, refusal := f.SelectForGeneration(now, model, prompt, nil); refusal == nil || refusal.Reason() != customer.ReasonQueueFull {
+		t.Fatalf("refusal = %v, want the prompt to wait", refusal)
+	}
+	now = start.Add(2 * time.Second)
+	update(now)
+	prompt.Waited = now.Sub(start)
+	sel := mustSelect(t, f, now, prompt)
+	if diff := cmp.Diff([]string{"e15", "e16", "e17", "e18", "e19"}, selectedEngines(sel)); diff != "" {
+		t.Errorf("engines (-want +got):\n%s", diff)
+	}
+	if got := prompt.Waited + sel.ExpectedTTFT(); got > prompt.TTFTTarget {
+		t.Errorf("the first event is expected %v after the arrival", got)
+	}
+}
+
 // mustWait fails the test unless the prompt is told to wait, and registers it as waiting.
 func mustWait(t *testing.T, f *endpoint.Fleet, now time.Time, p endpoint.Prompt) *endpoint.Waiter {
 	t.Helper()
