--- a/endpoint/longburst_test.go
+++ b/endpoint/longburst_test.go
@@ -441,3 +441,38 @@
 		})
 	}
 }
+
+// TestBurstOfTheLongestPromptsThenOfTheShortest guards against a burst of the longest kind, on two thirds of the engines and followed by a
+// burst of the shortest kind, in which callers of the largest tenth or of the next fifth of the longest kind are refused on arrival and again on
+// their return. Each must be served at least half as often as the whole kind.
+func TestBurstOfTheLongestPromptsThenOfTheShortest(t *testing.T) {
+	t.Parallel()
+	b := &burst{
+		engines: 46, slots: 12, iterationsPerStep: 57, length: 22 * time.Second, options: []endpoint.FleetOption{endpoint.WithSpareSlots(1)},
+		steps: &stepModel{slowness: func(int, time.Duration) float64 { return 1 }},
+		kinds: []promptKind{
+			{perSecond: 55, tokens: 4_960, sigma: 0.77, most: 23_800, output: 1_810, target: 300 * time.Millisecond, gapLimit: 250 * time.Millisecond, timeLimit: 10 * time.Second},
+			{perSecond: 12, tokens: 45_000, sigma: 0.47, most: 110_000, output: 1_083, target: 1500 * time.Millisecond, gapLimit: 600 * time.Millisecond, timeLimit: 10 * time.Second},
+			{perSecond: 6, tokens: 220_000, sigma: 0.52, most: 700_000, output: 906, target: 4 * time.Second, gapLimit: time.Second, timeLimit: 15 * time.Second},
+		},
+		rate: func(kind int, at time.Duration) float64 {
+			if at < 10*time.Second {
+				return 1
+			}
+			return []float64{3.3, 0.5, 0.12}[kind]
+		},
+	}
+	var longest []*burstPrompt
+	for _, p := range b.runSeeds(8) {
+		if b.kindOf(p) == len(b.kinds)-1 {
+			longest = append(longest, p)
+		}
+	}
+	slices.SortFunc(longest, func(a, b *burstPrompt) int { return cmp.Compare(b.tokens, a.tokens) })
+	n, all := len(longest), servedShare(longest)
+	for name, part := range map[string][]*burstPrompt{"largest tenth": longest[:n/10], "next largest fifth": longest[n/10 : 3*n/10]} {
+		if got := servedShare(part); got < all/2 {
+			t.Errorf("of the %s %.2f were served, of all %.2f", name, got, all)
+		}
+	}
+}
