forward: Use one raw endpoint in the tests of foreign and cut answers

The tests of a late copy of a refusal and of cut heads each had an accept loop of their own; rawEndpoint serves both, and their checks are unchanged. In copyEvents, endIsMarked names what the end of the stream is known by.

--- a/endpoint/longprompt.go
+++ b/endpoint/longprompt.go
@@ -15,8 +15,8 @@
 	// longestSegment bounds a segment if few engines are free. Short prompts that find no other engine wait until the segment
 	// ends.
 	longestSegment = 600 * time.Millisecond
-	// finalShare is the share of the time from arrival to latest start at the end of which a prompt accepts segments of up to finalSegment:
-	// it is refused soon if it does not find engines.
+	// finalShare is the share of the time from arrival to latest start at the end of which a prompt accepts segments of up to finalSegment.
+	// One that does not start by then is usually refused.
 	finalShare   = 0.3
 	finalSegment = time.Second
 	// maxFreeBacklog is the largest backlog of an engine that counts as free. Engines prefill the segments that they help with
--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -47,52 +46,28 @@
 
 var endings = []ending{{name: "closed"}, {name: "reset", reset: true}, {name: "closed after two packets", split: true}}
 
-// cutEndpoint accepts connections and answers each request on them with the bytes, after which it ends the connection. served is the number
-// of requests on each connection that are answered whole before. It returns the address.
+// cutEndpoint starts an endpoint that answers each request with the bytes, after which it ends the connection. served is the number of requests
+// on each connection that are answered whole before. It returns the address.
 func cutEndpoint(t *testing.T, bytes string, e ending, served int, whole string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					if n < served {
-						_, _ = io.WriteString(conn, whole)
-						continue
-					}
-					first := bytes
-					if e.split {
-						first = bytes[:len(bytes)/2]
-					}
-					_, _ = io.WriteString(conn, first)
-					if e.split {
-						time.Sleep(time.Millisecond)
-						_, _ = io.WriteString(conn, bytes[len(first):])
-					}
-					if e.reset {
-						_ = conn.(*net.TCPConn).SetLinger(0)
-					}
-					return
-				}
-			}()
+	return rawEndpoint(t, func(n int, conn net.Conn) bool {
+		if n < served {
+			_, err := io.WriteString(conn, whole)
+			return err == nil
+		}
+		first := bytes
+		if e.split {
+			first = bytes[:len(bytes)/2]
 		}
-	}()
-	return l.Addr().String()
+		_, _ = io.WriteString(conn, first)
+		if e.split {
+			time.Sleep(time.Millisecond)
+			_, _ = io.WriteString(conn, bytes[len(first):])
+		}
+		if e.reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	})
 }
 
 // setEndpoints adds endpoints with the given addresses to the site.
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -20,39 +19,16 @@
 func TestLateCopyOfRefusalIsNotBelieved(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	var runs atomic.Int32
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for first := true; ; first = false {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					if !first {
-						runs.Add(1)
-					}
-					// The first answer on a connection is a refusal, and the answer to the second request is a copy of it.
-					if _, err := io.WriteString(conn, refusal); err != nil {
-						return
-					}
-				}
-			}()
+	address := rawEndpoint(t, func(n int, conn net.Conn) bool {
+		if n > 0 {
+			runs.Add(1)
 		}
-	}()
+		// The first answer on a connection is a refusal, and the answer to the second request is a copy of it.
+		_, err := io.WriteString(conn, refusal)
+		return err == nil
+	})
 	s := newSite(t)
-	s.fleet.SetEntry(time.Now(), endpoint.Entry{ID: "e0", Service: "desk", Address: l.Addr().String(), DataCentre: "dc", Slots: 4}, 0)
+	s.fleet.SetEntry(time.Now(), endpoint.Entry{ID: "e0", Service: "desk", Address: address, DataCentre: "dc", Slots: 4}, 0)
 	if got, err := s.do("GET", "/read/1", ""); err != nil || got.Status != http.StatusServiceUnavailable {
 		t.Fatalf("refusal on a new connection: %+v, %v", got, err)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -368,8 +368,8 @@
 // the prefill is done. A resumed stream may have no event left, but only if its end is marked.
 func (d *delivery) copyEvents(head AnswerHead, resp *http.Response, sel *endpoint.Selection, progress func()) error {
 	r := bufio.NewReader(resp.Body)
-	endsWithConnection := endsWithConnection(resp)
-	mayBeEmpty := (d.lastID != "" || d.events > 0) && !endsWithConnection
+	endIsMarked := !endsWithConnection(resp)
+	mayBeEmpty := (d.lastID != "" || d.events > 0) && endIsMarked
 	buf := buffer{m: d.q.h.memory}
 	defer buf.free()
 	for {
@@ -402,7 +402,7 @@
 			return err
 		}
 		now := time.Now()
-		mayBeEmpty = mayBeEmpty || !endsWithConnection || hasField(event)
+		mayBeEmpty = mayBeEmpty || endIsMarked || hasField(event)
 		if hasField(event) {
 			progress()
 			d.recordEvent(now)
