--- a/soak/crashing_test.go
+++ b/soak/crashing_test.go
@@ -21,7 +21,6 @@
 
 const (
 	crashingPart     = "dead01"
-	partsHeader      = "Prompt-Prefix"
 	crashDelay       = 30 * time.Millisecond // from the request to the end of its engine
 	engineDownFor    = time.Second
 	stabilityWindow  = 3 * time.Second
@@ -93,17 +92,12 @@
 	if err != nil {
 		return
 	}
-	if strings.Contains(req.Header.Get(partsHeader), crashingPart+":") {
+	if strings.Contains(req.Header.Get(platformtest.PartsHeader), crashingPart+":") {
 		e.mu.Lock()
 		e.received = append(e.received, time.Now())
 		e.mu.Unlock()
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nResponse-Seal: m\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-			platformtest.AttemptHeader, req.Header.Get(platformtest.AttemptHeader))
-		if e.inHead() {
-			head = head[:len(head)/2]
-		}
 		time.Sleep(crashDelay)
-		_, _ = io.WriteString(conn, head)
+		_ = platformtest.WriteHead(conn, req, e.inHead()) // the connection ends in any case
 		time.Sleep(crashDelay)
 		e.end()
 		return
@@ -174,7 +168,7 @@
 				t.Error(err)
 				return
 			}
-			req.Header.Set(partsHeader, parts+id+":4900")
+			req.Header.Set(platformtest.PartsHeader, parts+id+":4900")
 			transport := &http.Transport{DisableKeepAlives: true}
 			resp, err := transport.RoundTrip(req)
 			ok := err == nil && resp.StatusCode == http.StatusOK
