--- a/soak/crashing_test.go
+++ b/soak/crashing_test.go
@@ -211,6 +211,9 @@
 		e.mu.Unlock()
 	}
 	slices.SortFunc(ends, time.Time.Compare)
+	if len(ends) == 0 {
+		t.Fatal("no engine ended")
+	}
 	if len(ends) < 5 {
 		t.Logf("%d ends of engines, %d of %d requests served", len(ends), served, sent)
 		return
