http1: Return an error in place of a response whose status line is malformed

What callers saw: an endpoint answered with status 000, or another below 100, and the caller's connection was closed without an answer, each time, although the route allowed another endpoint. Statuses from 600 on, an unsolicited 101 and version HTTP/2.0 were passed on. On the product's own path, http1.Do returned 000 as 200: the log's client took a record that was not appended for one that was.

Cause: http.ReadResponse accepts any three characters that Atoi takes for a number of 0 or more. Such a status is below 500 and so counted as an answer, and ResponseWriter.WriteHeader panics below 100. fasthttp reads 000 as 0, for which StatusCode returns 200.

Change: the connections of all HTTP/1.1 clients check the status line while its bytes arrive, before a parser interprets them. With a fault, reading fails at the end of the line, so no parser can complete the head. http1.Transport wraps http.Transport for forward (pooled and unpooled), the store's clients, orders to engines, the fetch from peers and goldcrest explain; http1.Do has the same connection under fasthttp. To a request the attempt is a broken connection with the verdict mayHaveRun, which another endpoint follows if the route allows it. The bytes before the line's end are delivered, so that http.Transport does not take the failure for a kept connection that was closed, after which it would repeat a GET by itself. A head that arrived before its request (http.Transport can race with late bytes on a kept connection) was not checked, so it fails too.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -20,6 +20,7 @@
 
 	"goldcrestpath/customer"
 	"goldcrestpath/engine"
+	"goldcrestpath/http1/http1test"
 )
 
 // recordingSink records the answer that is delivered to it. Its method returns err.
@@ -426,3 +427,22 @@
 		t.Error(diff)
 	}
 }
+
+// TestMalformedHead guards against a response with a malformed head that counts as one of the engine, and against the verdict notRun for the
+// request.
+func TestMalformedHead(t *testing.T) {
+	http1test.CheckClient(t, "{}", func(t *testing.T, address string) map[string]error {
+		c, s := newClient(t), engine.Spec{Name: "e1", Address: address}
+		_, reportErr := c.Report(t.Context(), s)
+		errs := map[string]error{"Report": reportErr, "Cancel": c.Cancel(t.Context(), s, "g1")}
+		if reportErr != nil { // otherwise the response is well-formed, but no stream
+			errs["Stream"] = c.Stream(t.Context(), s, completion(), grant("g1"), 1, &recordingSink{})
+		}
+		for name, err := range errs {
+			if err != nil && describeError(err) != "mayHaveRun endpointFailed" {
+				t.Errorf("%s: %v, want mayHaveRun", name, err)
+			}
+		}
+		return errs
+	})
+}
--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"goldcrestpath/endpoint"
+	"goldcrestpath/http1/http1test"
 )
 
 // framing is how an answer shows where its body ends.
@@ -49,7 +50,7 @@
 // cutEndpoint starts an endpoint that answers each request with the bytes, after which it ends the connection. served is the number of requests
 // on each connection that are answered whole before. It returns the address.
 func cutEndpoint(t *testing.T, bytes string, e ending, served int, whole string) string {
-	return rawEndpoint(t, func(n int, conn net.Conn) bool {
+	return http1test.Serve(t, func(n int, conn net.Conn) bool {
 		if n < served {
 			_, err := io.WriteString(conn, whole)
 			return err == nil
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -102,6 +102,13 @@
 	return err
 }
 
+// text returns all lines.
+func (b *logBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Join(b.lines, "\n")
+}
+
 // newSite returns a site with one endpoint for each of the given HTTP handlers.
 func newSite(t *testing.T, endpoints ...http.HandlerFunc) *site {
 	t.Helper()
@@ -224,40 +231,6 @@
 	}
 }
 
-// rawEndpoint starts an endpoint that calls answer for each request. n is the number of requests on the connection before. The connection is
-// closed once answer returns false. It returns the address.
-func rawEndpoint(t *testing.T, answer func(n int, conn net.Conn) bool) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					if !answer(n, conn) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // head is the beginning of a valid answer.
 const head = "HTTP/1.1 200 OK\r\nX-Id: call-1\r\nX-Genuine: 1\r\n"
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -47,8 +47,8 @@
 	holdTime   time.Duration // how long a reservation lasts unless it is renewed
 	table      atomic.Pointer[operator.RoutingTable]
 	logger     log.Interface
-	pooled     *http.Transport // reuses connections
-	unpooled   *http.Transport // opens a new connection for each request
+	pooled     *http1.Transport // reuses connections
+	unpooled   *http1.Transport // opens a new connection for each request
 	random     func() float64
 	running    atomic.Int64
 	refused    func(reason string) metrics.Counter
@@ -103,14 +103,14 @@
 func NewHandler(codec Codec, fleet *endpoint.Fleet, budget *endpoint.RetryBudget, logger log.Interface, opts ...Option) *Handler {
 	h := &Handler{codec: codec, fleet: fleet, budget: budget, logger: logger, random: rand.Float64, stop: newStop(),
 		memory: NewMemory(defaultMemory), cutLines: rate.NewLimiter(cutLinesPerSecond, cutLinesBurst)}
-	h.pooled = &http.Transport{
+	h.pooled = http1.NewTransport(&http.Transport{
 		DialContext: http1.NewDialer(dialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout: idleTimeout, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxAnswerHeadBytes,
-	}
-	h.unpooled = &http.Transport{
+	})
+	h.unpooled = http1.NewTransport(&http.Transport{
 		DialContext: http1.NewDialer(dialTimeout).DialContext, DisableCompression: true, DisableKeepAlives: true,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxAnswerHeadBytes,
-	}
+	})
 	h.dial = http1.NewDialer(endedProbeTimeout).DialContext
 	h.register(metrics.NewRegistry())
 	for _, opt := range opts {
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"goldcrestpath/endpoint"
+	"goldcrestpath/http1/http1test"
 )
 
 // TestLateCopyOfRefusalIsNotBelieved guards against an endpoint that writes an earlier refusal once more on a kept connection. The
@@ -19,7 +20,7 @@
 func TestLateCopyOfRefusalIsNotBelieved(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	var runs atomic.Int32
-	address := rawEndpoint(t, func(n int, conn net.Conn) bool {
+	address := http1test.Serve(t, func(n int, conn net.Conn) bool {
 		if n > 0 {
 			runs.Add(1)
 		}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -17,6 +17,7 @@
 	"goldcrestpath/customer"
 	"goldcrestpath/endpoint"
 	"goldcrestpath/forward"
+	"goldcrestpath/http1"
 )
 
 const (
@@ -259,7 +260,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "ask "+address)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: http1.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	resp, err := client.Do(r)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s does not answer", address)
--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -17,6 +17,7 @@
 
 	"goldcrestpath/endpoint"
 	"goldcrestpath/forward"
+	"goldcrestpath/http1/http1test"
 	"goldcrestpath/operator"
 	"goldcrestpath/platform"
 )
@@ -145,3 +146,11 @@
 		t.Errorf("questions changed counters or loads (-before +after):\n%s", diff)
 	}
 }
+
+// TestFetchExplanationMalformedHead guards against an explanation that is taken from a response with a malformed head.
+func TestFetchExplanationMalformedHead(t *testing.T) {
+	http1test.CheckClient(t, "{}", func(t *testing.T, address string) map[string]error {
+		_, err := FetchExplanation(t.Context(), address, forward.Question{Host: "x.test", Path: "/"})
+		return map[string]error{"FetchExplanation": err}
+	})
+}
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -1,4 +1,6 @@
-// Package http1 sends one HTTP/1.1 request on a connection of its own.
+// Package http1 sends one HTTP/1.1 request on a connection of its own, and has the connections of all HTTP/1.1 clients.
+//
+// Both Do and Transport return an error in place of a malformed response.
 //
 // A request is written at most once. Pooled connections are not used: if a server closes an idle connection while a
 // request is being written to it, the client cannot tell whether the server read the request. With a new connection,
@@ -29,9 +31,9 @@
 	beforeWrite func() error
 	tls         *tls.Config
 	mu          sync.Mutex
-	conn        net.Conn
-	cancelClose func() bool // cancels the closing of conn at the end of ctx
-	sent        bool        // whether the connection may have written a byte of the request
+	conn        *responseConn // nil before the connection is open
+	cancelClose func() bool   // cancels the closing of conn at the end of ctx
+	sent        bool          // whether the connection may have written a byte of the request
 }
 
 // Option sets an optional property of an Attempt.
@@ -69,8 +71,11 @@
 		return a, true, nil
 	}
 	a.Close()
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		err = ctx.Err()
+	case a.conn != nil && a.conn.headFault() != nil:
+		err = a.conn.headFault() // fasthttp only says that the head is incomplete
 	}
 	return nil, a.sent, errors.WithMessage(err, address)
 }
@@ -89,9 +94,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.conn = conn
+	a.conn = newResponseConn(conn)
 	a.cancelClose = context.AfterFunc(a.ctx, func() { conn.Close() })
-	return &checkedConn{Conn: conn, attempt: a}, nil
+	return &checkedConn{Conn: a.conn, attempt: a}, nil
 }
 
 // handshake performs the TLS handshake on conn, and closes conn if the handshake fails.
--- /dev/null
+++ b/http1/http1test/http1test.go
@@ -0,0 +1,114 @@
+// Package http1test has servers whose responses are written byte by byte, and faults of responses, for tests of clients.
+package http1test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// Listen starts a server that calls serve for each connection, and closes the connection afterwards. It returns the address.
+func Listen(t testing.TB, serve func(conn *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.AcceptTCP()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Serve starts a server that calls respond for each request, after it has read the request. n is the number of requests on the connection
+// before. The connection is closed once respond returns false. Serve returns the address.
+func Serve(t testing.TB, respond func(n int, conn net.Conn) bool) string {
+	t.Helper()
+	return Listen(t, func(conn *net.TCPConn) {
+		r := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if !respond(n, conn) {
+				return
+			}
+		}
+	})
+}
+
+// ServeBytes starts a server that sends the bytes in response to each request and then closes the connection. It returns the address.
+func ServeBytes(t testing.TB, bytes string) string {
+	t.Helper()
+	return Serve(t, func(_ int, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, bytes)
+		return false
+	})
+}
+
+// HeadFault makes the head of a response malformed.
+type HeadFault struct {
+	Name    string
+	Message string                   // part of the client's error
+	Apply   func(head string) string // head begins with "HTTP/1.1 200 OK" and ends with a blank line
+}
+
+// HeadFaults returns faults that a client must not tolerate.
+func HeadFaults() []HeadFault {
+	return []HeadFault{
+		status("000", "the status code is not between 100 and 599"),
+		status("001", "the status code is not between 100 and 599"),
+		status("099", "the status code is not between 100 and 599"),
+		status("600", "the status code is not between 100 and 599"),
+		status("999", "the status code is not between 100 and 599"),
+		status("+20", "the status code is not a number of three digits"),
+		status("101", "Switching Protocols was not asked for"),
+		{"status 000 behind an interim response", "the status code is not between 100 and 599", func(head string) string {
+			return "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + strings.Replace(head, " 200 ", " 000 ", 1)
+		}},
+		{"version 2.0", "the version is not HTTP/1", func(head string) string { return strings.Replace(head, "HTTP/1.1", "HTTP/2.0", 1) }},
+	}
+}
+
+// status returns a fault that replaces the status code.
+func status(code, message string) HeadFault {
+	return HeadFault{"status " + code, message, func(head string) string { return strings.Replace(head, " 200 ", " "+code+" ", 1) }}
+}
+
+// CheckClient checks that a client accepts a response with status 200 and the given body, and that it returns an error with the fault's
+// message if the head has a fault. call makes each kind of call to the address and returns the errors by the name of the call.
+func CheckClient(t *testing.T, body string, call func(t *testing.T, address string) map[string]error) {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	t.Run("well-formed", func(t *testing.T) {
+		for name, err := range call(t, ServeBytes(t, head+body)) {
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+	})
+	for _, fault := range HeadFaults() {
+		t.Run(fault.Name, func(t *testing.T) {
+			for name, err := range call(t, ServeBytes(t, fault.Apply(head)+body)) {
+				if err == nil || !strings.Contains(err.Error(), fault.Message) {
+					t.Errorf("%s: error %v, want one with %q", name, err, fault.Message)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/http1/transport.go
@@ -0,0 +1,57 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// Transport is an http.Transport that returns an error in place of a response whose head is malformed. It is safe for concurrent use.
+type Transport struct{ transport *http.Transport }
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// NewTransport returns a Transport that uses t for connections without TLS. t must not be used or changed afterwards.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newResponseConn(conn), nil
+	}
+	return &Transport{transport: t}
+}
+
+// errNoHead is the error for a response whose head arrived before the connection was used for the request.
+var errNoHead = errors.New("the response arrived before the request was sent")
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn atomic.Pointer[responseConn] // of the last attempt; http.Transport can repeat a request
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c := info.Conn.(*responseConn)
+		c.expectResponse()
+		conn.Store(c)
+	}}
+	resp, err := t.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if !conn.Load().hasHead() {
+		resp.Body.Close()
+		return nil, errNoHead
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
--- a/oplog/http_test.go
+++ b/oplog/http_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 
+	"goldcrestpath/http1/http1test"
 	"goldcrestpath/standin"
 )
 
@@ -165,3 +166,18 @@
 	b.ReportMetric(float64(s.Counters().Appends)/b.Elapsed().Seconds(), "appends/s")
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
 }
+
+// TestMalformedHead guards against records that count as appended or read although the head of the response is malformed, and against an
+// error that states that an append was not sent.
+func TestMalformedHead(t *testing.T) {
+	http1test.CheckClient(t, "{}", func(t *testing.T, address string) map[string]error {
+		l := NewHTTPLog(address)
+		_, appendErr := l.Append(t.Context(), [][]byte{[]byte("a")})
+		_, readErr := l.Read(t.Context(), 0, 0)
+		var unsent *UnsentError
+		if errors.As(appendErr, &unsent) || errors.As(readErr, &unsent) {
+			t.Error("the error states that the request was not sent")
+		}
+		return map[string]error{"Append": appendErr, "Read": readErr}
+	})
+}
--- a/peer/records.go
+++ b/peer/records.go
@@ -144,13 +144,13 @@
 
 // NewFetcher returns a fetcher whose requests time out after fetchTimeout.
 func NewFetcher(opts ...FetcherOption) *Fetcher {
-	f := &Fetcher{client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
+	f := &Fetcher{client: &http.Client{Timeout: fetchTimeout, Transport: http1.NewTransport(&http.Transport{
 		DialContext:     http1.NewDialer(fetchTimeout).DialContext,
 		IdleConnTimeout: 2 * time.Second,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 		DisableCompression:     true, // Fetch decompresses, so that its limit applies to the decompressed size with any transport
-	}}}
+	})}}
 	for _, opt := range opts {
 		opt(f)
 	}
--- a/peer/records_test.go
+++ b/peer/records_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"goldcrestpath/http1/http1test"
 	"goldcrestpath/peer"
 )
 
@@ -46,3 +47,14 @@
 		s.Close()
 	}
 }
+
+// TestFetchMalformedHead guards against records that are taken from a response with a malformed head.
+func TestFetchMalformedHead(t *testing.T) {
+	const noRecords = "\xa3\x01\x80\x02\x05\x03\x00" // CBOR {1: [], 2: 5, 3: 0}
+	f := peer.NewFetcher()
+	defer f.Close()
+	http1test.CheckClient(t, noRecords, func(t *testing.T, address string) map[string]error {
+		_, _, _, err := f.Fetch(t.Context(), address, 2, 3, 5)
+		return map[string]error{"Fetch": err}
+	})
+}
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"goldcrestpath/customer"
+	"goldcrestpath/http1/http1test"
 	"goldcrestpath/service"
 )
 
@@ -217,3 +218,15 @@
 		sel.End(now, false)
 	}
 }
+
+// TestDoMalformedHead guards against a response with a malformed head that counts as one of the instance, and against the verdict notRun for
+// the call.
+func TestDoMalformedHead(t *testing.T) {
+	http1test.CheckClient(t, "ok", func(t *testing.T, address string) map[string]error {
+		_, err := service.NewClient().Do(t.Context(), service.Spec{Name: "b1", Address: address}, &service.Request{Method: "POST", Path: "/x"})
+		if err != nil && describeError(err) != "mayHaveRun endpointFailed" {
+			t.Errorf("%v, want mayHaveRun", err)
+		}
+		return map[string]error{"Do": err}
+	})
+}
