http1: Return an error in place of a response with a malformed field

What callers saw: an endpoint answered with a blank in or behind the name of a field, and the caller got the answer with status 200, without the line. With "Transfer-Encoding :", a continued line " Transfer-Encoding: chunked", or chunks in HTTP/1.0, the chunk sizes were part of the body. The clients of the store, the log, peers, engines and plain services used such responses as well.

Cause: net/http and fasthttp tolerate blanks in names and continued lines, and ignore Transfer-Encoding in HTTP/1.0. Without the field that delimits the body, the body lasts until the end of the connection.

Change: the check of heads in http1 covers each field line, with httpguts for names and values (golang.org/x/net was an indirect dependency). RFC 9112 also lets a gateway remove a blank behind a name and join continued lines; such an answer fails instead, because what it delimits is in doubt. Transport returns the fault of the check rather than the parser's view of the cut line.

Control characters, empty names and lines without a colon were failures already; of these only the wording of the log line changed, and the tests stay. Malformed trailers were handled already: TestMalformedTrailer passes before and after. All pass with the change, with the race detector.

--- a/forward/malformedhead_test.go
+++ b/forward/malformedhead_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -162,3 +163,34 @@
 		}
 	}
 }
+
+// TestMalformedTrailer guards against trailer fields that reach a caller. The last chunk ends the body, so the answer is whole even if its
+// trailer section is malformed.
+func TestMalformedTrailer(t *testing.T) {
+	for _, trailer := range []string{"X-Trailer: 1", "X Trailer: 1", "X-Trailer : 1", "X-Tra\x01iler: 1", "X-Trailer"} {
+		for _, r := range routes {
+			head, rest := framings[1].answerIn(r.contentType, r.body)
+			s := newSite(t)
+			s.setSequence(func(int) string { return head + strings.TrimSuffix(rest, "\r\n") + trailer + "\r\n\r\n" })
+			req, err := http.NewRequest("POST", s.server.URL+r.path, http.NoBody)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "site.test"
+			req.Header.Set(headerID, "call-1")
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err != nil {
+				t.Errorf("%s, trailer %q: %v", r.path, trailer, err)
+				continue
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode == 200 && err == nil && string(body) != r.body || resp.StatusCode != 200 && resp.StatusCode != 502 {
+				t.Errorf("%s, trailer %q: status %d, body %q, error %v, want the whole answer or a failure", r.path, trailer, resp.StatusCode, body, err)
+			}
+			if len(resp.Trailer) > 0 {
+				t.Errorf("%s: the caller got the trailer %v", r.path, resp.Trailer)
+			}
+		}
+	}
+}
--- a/http1/head.go
+++ b/http1/head.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxHeadLineBytes limits a line in the head of a response.
@@ -25,9 +26,10 @@
 // headScanner checks the head of a response as its bytes arrive. The HTTP parsers of net/http and fasthttp accept heads that RFC 9112 does
 // not allow, and lose what would show it: the code 000 becomes 200, for example.
 type headScanner struct {
-	part    headPart
-	interim bool   // the status code is 1xx, so another head follows
-	line    []byte // the beginning of the current line, if it arrived earlier
+	part      headPart
+	interim   bool   // the status code is 1xx, so another head follows
+	notHTTP11 bool   // the version is not HTTP/1.1
+	line      []byte // the beginning of the current line, if it arrived earlier
 }
 
 // scan checks the next bytes of a response. With an error, it returns how many bytes precede the end of the faulty line. A parser that gets
@@ -65,7 +67,7 @@
 	case s.part == statusLine:
 		return s.checkStatusLine(line)
 	case len(line) > 0:
-		return nil
+		return s.checkField(line)
 	case s.interim:
 		s.part = statusLine
 	default:
@@ -91,10 +93,29 @@
 		return malformed(http.StatusText(http.StatusSwitchingProtocols)+" was not asked for", line)
 	}
 	s.interim = code[0] == '1'
+	s.notHTTP11 = string(version) != "HTTP/1.1"
 	s.part = fieldLines
 	return nil
 }
 
+// checkField checks a field line as in RFC 9112, section 5. A parser that tolerates a fault in it can miss the field that delimits the body.
+func (s *headScanner) checkField(line []byte) error {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	switch {
+	case line[0] == ' ' || line[0] == '\t':
+		return malformed("a field is continued on another line", line)
+	case !hasColon:
+		return malformed("a field has no colon", line)
+	case !httpguts.ValidHeaderFieldName(string(name)):
+		return malformed("the name of a field is not a token", line)
+	case !httpguts.ValidHeaderFieldValue(string(value)):
+		return malformed("the value of a field has a control character", line)
+	case s.notHTTP11 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return malformed("the version has no Transfer-Encoding", line) // both parsers ignore the field
+	}
+	return nil
+}
+
 // isDigits reports whether b consists of decimal digits.
 func isDigits(b []byte) bool {
 	for _, c := range b {
--- a/http1/http1test/http1test.go
+++ b/http1/http1test/http1test.go
@@ -3,9 +3,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -83,9 +85,42 @@
 			return "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + strings.Replace(head, " 200 ", " 000 ", 1)
 		}},
 		{"version 2.0", "the version is not HTTP/1", func(head string) string { return strings.Replace(head, "HTTP/1.1", "HTTP/2.0", 1) }},
+		field("X Fault: 1", notToken),
+		field("X-Fault : 1", notToken),
+		field("X-Fault\t: 1", notToken),
+		field("X-Fa\x01ult: 1", notToken),
+		field("X-Fault\x00: 1", notToken),
+		field("X-Fa\x7fult: 1", notToken),
+		field("X-Fa\rult: 1", notToken),
+		field("X-Fa\u00fclt: 1", notToken),
+		field(": 1", notToken),
+		field("X-Fault", "a field has no colon"),
+		field("X-Fault: 1\r\n more", "a field is continued on another line"),
+		field("X-Fault: 1\r\n\tmore: 1", "a field is continued on another line"),
+		field("X-Fault: \x01", "the value of a field has a control character"),
+		field("X-Fault: a\rb", "the value of a field has a control character"),
+		{"blank behind the names of fields that delimit the body", notToken, func(head string) string {
+			return delimiters.ReplaceAllString(head, "$1 :")
+		}},
+		{"blank before the names of fields that delimit the body", "a field is continued on another line", func(head string) string {
+			return delimiters.ReplaceAllString(head, "X-Fault: 1\r\n $1:")
+		}},
+		{"blank in a field of an interim response", notToken, func(head string) string {
+			return "HTTP/1.1 103 Early Hints\r\nLi nk: a\r\n\r\n" + head
+		}},
 	}
 }
 
+const notToken = "the name of a field is not a token"
+
+// delimiters matches the names of fields that tell where the body and the connection end.
+var delimiters = regexp.MustCompile(`(Content-Length|Transfer-Encoding|Connection):`)
+
+// field returns a fault that adds a line to the fields.
+func field(line, message string) HeadFault {
+	return HeadFault{fmt.Sprintf("field %q", line), message, func(head string) string { return strings.TrimSuffix(head, "\r\n") + line + "\r\n\r\n" }}
+}
+
 // status returns a fault that replaces the status code.
 func status(code, message string) HeadFault {
 	return HeadFault{"status " + code, message, func(head string) string { return strings.Replace(head, " 200 ", " "+code+" ", 1) }}
--- a/http1/malformedhead_test.go
+++ b/http1/malformedhead_test.go
@@ -83,6 +83,11 @@
 			check(t, response, "")
 			check(t, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"+response, "")
 		})
+		if framing != "chunks" {
+			check(t, strings.Replace(response, "HTTP/1.1", "HTTP/1.0", 1), "")
+		} else {
+			check(t, strings.Replace(response, "HTTP/1.1", "HTTP/1.0", 1), "the version has no Transfer-Encoding")
+		}
 		for _, fault := range http1test.HeadFaults() {
 			t.Run(framing+" "+fault.Name, func(t *testing.T) {
 				head, rest, _ := strings.Cut(response, "\r\n\r\n")
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -44,6 +44,9 @@
 	}}
 	resp, err := t.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
+		if c := conn.Load(); c != nil && c.headFault() != nil {
+			err = c.headFault() // net/http also parses the line that is cut off, and can name another fault
+		}
 		return nil, err
 	}
 	if !conn.Load().hasHead() {
