http1: Return an error for a body whose connection ended before the request was written

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection, and the caller got that part as a complete answer, or a stream that looked complete. The same after an orderly close.

Cause: without a length, the end of the connection ends the body. A socket returns the error of a reset once. If the write of the upload gets it, the next read returns io.EOF. http.Transport closes the connection after a failed write, but its reader can be faster.

Change: the connections of http1 keep the error of a write, and learn from httptrace when the request was written. A read at the end of the connection ends the writing, so that it cannot wait for a peer that no longer reads, waits for its result, and fails unless the request was written completely. All users of http1 have this. An early answer that has a length, is in chunks, or ends after the upload is delivered as before.

Why this works: the end of a connection that follows a reset is only returned after some write got the error. That write is either over, and its error is known, or in progress, and the read waits for it. There is no order in which the read can miss the error.

Evidence: TestAnswerResetDuringUpload brings about the order in which the write gets the error and the read follows before http.Transport closes the connection.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -146,13 +146,28 @@
 
 // setTableWith is like setTable for a service with an engine model.
 func (s *site) setTableWith(version int64, engine *endpoint.Engine, keys ...string) {
+	s.setSpec(s.routingSpec(version, engine, keys...))
+}
+
+// setSpec installs a table.
+func (s *site) setSpec(spec operator.RoutingSpec) {
+	s.t.Helper()
+	table, err := operator.NewRoutingTable(spec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.handler.SetTable(table)
+}
+
+// routingSpec returns a table with a route for each kind of request.
+func (s *site) routingSpec(version int64, engine *endpoint.Engine, keys ...string) operator.RoutingSpec {
 	route := func(name string, kind operator.RouteKind, attempts int) operator.Route {
 		return operator.Route{
 			Name: name, Host: "site.test", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, TTFTTarget: 200 * time.Millisecond,
 			GapLimit: 200 * time.Millisecond, MaxAttempts: attempts, Public: len(keys) == 0, Services: []operator.WeightedService{{Service: "desk", Weight: 1}},
 		}
 	}
-	table, err := operator.NewRoutingTable(operator.RoutingSpec{
+	return operator.RoutingSpec{
 		Version: version,
 		Routes: []operator.Route{
 			route("read", operator.Idempotent, 2), route("book", operator.AtMostOnce, 2), route("stream", operator.ResumableStream, 2),
@@ -161,11 +176,7 @@
 		Services:  []endpoint.Service{{Name: "desk", Engine: engine}},
 		Customers: []operator.Customer{{Name: "team", APIKeys: keys}}, RequiresKey: len(keys) > 0,
 		Limits: operator.CallerLimits{HeaderBytes: 2000, BodyBytes: 5000},
-	})
-	if err != nil {
-		s.t.Fatal(err)
 	}
-	s.handler.SetTable(table)
 }
 
 // answer is what a caller receives.
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -1,6 +1,6 @@
 // Package http1 sends one HTTP/1.1 request on a connection of its own, and has the connections of all HTTP/1.1 clients.
 //
-// Both Do and Transport return an error in place of a malformed response.
+// Both Do and Transport return an error in place of a malformed response, and of one that ended before its request was written.
 //
 // A request is written at most once. Pooled connections are not used: if a server closes an idle connection while a
 // request is being written to it, the client cannot tell whether the server read the request. With a new connection,
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -10,7 +10,8 @@
 	"github.com/pkg/errors"
 )
 
-// Transport is an http.Transport that returns an error in place of a response whose head is malformed. It is safe for concurrent use.
+// Transport is an http.Transport that returns an error in place of a response whose head is malformed. Reading a body fails, in place of
+// io.EOF, if its connection ended before the request was written. A Transport is safe for concurrent use.
 type Transport struct{ transport *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -36,12 +37,18 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var conn atomic.Pointer[responseConn] // of the last attempt; http.Transport can repeat a request
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		c := info.Conn.(*responseConn)
-		c.expectResponse()
-		conn.Store(c)
-	}}
+	// Of the last attempt. http.Transport can repeat a request, but only after it has ended the writing of the attempt before.
+	var conn atomic.Pointer[responseConn]
+	var writing atomic.Pointer[requestWriting]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			c, w := info.Conn.(*responseConn), newRequestWriting()
+			c.expectResponse(w)
+			conn.Store(c)
+			writing.Store(w)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { writing.Load().end(info.Err) },
+	}
 	resp, err := t.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		if c := conn.Load(); c != nil && c.headFault() != nil {
