http1: Refuse schemes other than http in Transport

Transport checks bytes as they arrive on the connection, which it cannot do for TLS: it took the records of a handshake for a malformed head, or, if these had no line feed, would have panicked on a connection that is not its own. A client of http.Client reaches this by a redirect to https, which a faulty server can send. Transport now returns an error that names the scheme; its users have no TLS.

Do reads the fault of the head under its lock.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -71,11 +71,10 @@
 		return a, true, nil
 	}
 	a.Close()
-	switch {
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
 		err = ctx.Err()
-	case a.conn != nil && a.conn.headFault() != nil:
-		err = a.conn.headFault() // fasthttp only says that the head is incomplete
+	} else if fault := a.headFault(); fault != nil {
+		err = fault // fasthttp only says that the head is incomplete
 	}
 	return nil, a.sent, errors.WithMessage(err, address)
 }
@@ -155,6 +154,16 @@
 	return body, nil
 }
 
+// headFault returns the fault of the response's head, if any.
+func (a *Attempt) headFault() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn == nil {
+		return nil
+	}
+	return a.conn.headFault()
+}
+
 // Close closes the connection.
 func (a *Attempt) Close() {
 	a.mu.Lock()
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -37,6 +37,12 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.URL.Scheme != "http" { // an http.Client also follows redirects to https
+		if req.Body != nil {
+			req.Body.Close()
+		}
+		return nil, errors.Errorf("scheme %q is not supported", req.URL.Scheme)
+	}
 	// Of the last attempt. http.Transport can repeat a request, but only after it has ended the writing of the attempt before.
 	var conn atomic.Pointer[responseConn]
 	var writing atomic.Pointer[requestWriting]
