--- a/http1/head.go
+++ b/http1/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net/http"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -90,7 +89,7 @@
 	case code[0] < '1' || code[0] > '5':
 		return malformed("the status code is not between 100 and 599", line)
 	case string(code) == "101":
-		return malformed(http.StatusText(http.StatusSwitchingProtocols)+" was not asked for", line)
+		return malformed("no request asks for status 101", line)
 	}
 	s.interim = code[0] == '1'
 	s.notHTTP11 = string(version) != "HTTP/1.1"
--- a/http1/http1test/http1test.go
+++ b/http1/http1test/http1test.go
@@ -74,14 +74,14 @@
 // HeadFaults returns faults that a client must not tolerate.
 func HeadFaults() []HeadFault {
 	return []HeadFault{
-		status("000", "the status code is not between 100 and 599"),
-		status("001", "the status code is not between 100 and 599"),
-		status("099", "the status code is not between 100 and 599"),
-		status("600", "the status code is not between 100 and 599"),
-		status("999", "the status code is not between 100 and 599"),
+		status("000", outOfRange),
+		status("001", outOfRange),
+		status("099", outOfRange),
+		status("600", outOfRange),
+		status("999", outOfRange),
 		status("+20", "the status code is not a number of three digits"),
-		status("101", "Switching Protocols was not asked for"),
-		{"status 000 behind an interim response", "the status code is not between 100 and 599", func(head string) string {
+		status("101", "no request asks for status 101"),
+		{"status 000 behind an interim response", outOfRange, func(head string) string {
 			return "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + strings.Replace(head, " 200 ", " 000 ", 1)
 		}},
 		{"version 2.0", "the version is not HTTP/1", func(head string) string { return strings.Replace(head, "HTTP/1.1", "HTTP/2.0", 1) }},
@@ -95,14 +95,14 @@
 		field("X-Fa\u00fclt: 1", notToken),
 		field(": 1", notToken),
 		field("X-Fault", "a field has no colon"),
-		field("X-Fault: 1\r\n more", "a field is continued on another line"),
-		field("X-Fault: 1\r\n\tmore: 1", "a field is continued on another line"),
+		field("X-Fault: 1\r\n more", continued),
+		field("X-Fault: 1\r\n\tmore: 1", continued),
 		field("X-Fault: \x01", "the value of a field has a control character"),
 		field("X-Fault: a\rb", "the value of a field has a control character"),
 		{"blank behind the names of fields that delimit the body", notToken, func(head string) string {
 			return delimiters.ReplaceAllString(head, "$1 :")
 		}},
-		{"blank before the names of fields that delimit the body", "a field is continued on another line", func(head string) string {
+		{"blank before the names of fields that delimit the body", continued, func(head string) string {
 			return delimiters.ReplaceAllString(head, "X-Fault: 1\r\n $1:")
 		}},
 		{"blank in a field of an interim response", notToken, func(head string) string {
@@ -111,7 +111,12 @@
 	}
 }
 
-const notToken = "the name of a field is not a token"
+// Parts of errors.
+const (
+	outOfRange = "the status code is not between 100 and 599"
+	notToken   = "the name of a field is not a token"
+	continued  = "a field is continued on another line"
+)
 
 // delimiters matches the names of fields that tell where the body and the connection end.
 var delimiters = regexp.MustCompile(`(Content-Length|Transfer-Encoding|Connection):`)
--- a/http1/malformedhead_test.go
+++ b/http1/malformedhead_test.go
@@ -1,8 +1,10 @@
 package http1_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -52,6 +54,36 @@
 	return resp.StatusCode, string(b), err
 }
 
+// TestMalformedHeadInPieces guards against a fault that goes unnoticed because its line arrives in pieces, here of one byte.
+func TestMalformedHeadInPieces(t *testing.T) {
+	const head, body = "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n", "the whole answer"
+	send := func(response string) (int, string, error) {
+		client, server := net.Pipe()
+		go func() {
+			defer server.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+				return
+			}
+			for i := range len(response) {
+				if _, err := io.WriteString(server, response[i:i+1]); err != nil {
+					return // the client has closed the connection
+				}
+			}
+		}()
+		transport := http1.NewTransport(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return client, nil }})
+		defer transport.CloseIdleConnections()
+		return roundTrip(t, transport, "127.0.0.1:1", "")
+	}
+	if status, got, err := send(head + body); err != nil || status != 200 || got != body {
+		t.Errorf("status %d, body %q, error %v, want the response", status, got, err)
+	}
+	for _, fault := range http1test.HeadFaults() {
+		if status, got, err := send(fault.Apply(head) + body); err == nil || !strings.Contains(err.Error(), fault.Message) {
+			t.Errorf("%s: status %d, body %q, error %v, want an error with %q", fault.Name, status, got, err, fault.Message)
+		}
+	}
+}
+
 // TestMalformedHead guards against a response with a malformed head that a client returns as a response, and against an error that does not
 // name the fault.
 func TestMalformedHead(t *testing.T) {
