--- a/forward/earlyanswer_test.go
+++ b/forward/earlyanswer_test.go
@@ -26,7 +26,7 @@
 const eventTimeout = 10 * time.Second
 
 // newUploadSite returns a site that accepts large uploads, with two endpoints. The first request, to either endpoint, goes to serve with its
-// body unread; it is the only one that has the trace. The others are answered whole, after their bodies were read.
+// body unread. The others are answered whole, after their bodies were read. All requests to endpoints have the trace, which may be nil.
 func newUploadSite(t *testing.T, r route, trace *httptrace.ClientTrace, serve func(conn *net.TCPConn, body io.Reader)) *site {
 	t.Helper()
 	s := newSiteWith(t, []forward.Option{forward.WithMemory(256 << 20)})
--- a/forward/malformedhead_test.go
+++ b/forward/malformedhead_test.go
@@ -37,21 +37,6 @@
 	return &count
 }
 
-// eachMalformedHead runs a subtest for each route, framing and fault. broken and whole are complete answers.
-func eachMalformedHead(t *testing.T, f func(t *testing.T, r route, fault http1test.HeadFault, broken, whole string)) {
-	for _, r := range routes {
-		for _, framing := range framings {
-			head, rest := framing.answerIn(r.contentType, r.body)
-			for _, fault := range http1test.HeadFaults() {
-				t.Run(fmt.Sprint(r.path, " ", framing.name, " ", fault.Name), func(t *testing.T) {
-					t.Parallel()
-					f(t, r, fault, fault.Apply(head)+rest, head+rest)
-				})
-			}
-		}
-	}
-}
-
 // checkFailure checks that a request failed at once, with a log line that names the fault.
 func (s *site) checkFailure(got answer, err error, fault string) {
 	s.t.Helper()
@@ -67,33 +52,42 @@
 // TestMalformedHead guards against a caller who gets an answer with a malformed head, or no answer at all, in place of the whole answer of
 // another endpoint or a failure.
 func TestMalformedHead(t *testing.T) {
-	eachMalformedHead(t, func(t *testing.T, r route, fault http1test.HeadFault, broken, whole string) {
-		s := newSite(t)
-		attempts := s.setSequence(func(int) string { return broken })
-		got, err := s.do("POST", r.path, "")
-		s.checkFailure(got, err, fault.Message)
-		want := int32(1)
-		if r.repeatable {
-			want = 2
-		}
-		if n := attempts.Load(); n != want {
-			t.Errorf("%d attempts at endpoints with malformed heads, want %d", n, want)
-		}
+	for _, r := range routes {
+		for _, framing := range framings {
+			for _, fault := range http1test.HeadFaults() {
+				t.Run(fmt.Sprint(r.path, " ", framing.name, " ", fault.Name), func(t *testing.T) {
+					t.Parallel()
+					head, rest := framing.answerIn(r.contentType, r.body)
+					broken, whole := fault.Apply(head)+rest, head+rest
+					s := newSite(t)
+					attempts := s.setSequence(func(int) string { return broken })
+					got, err := s.do("POST", r.path, "")
+					s.checkFailure(got, err, fault.Message)
+					want := int32(1)
+					if r.repeatable {
+						want = 2
+					}
+					if n := attempts.Load(); n != want {
+						t.Errorf("%d attempts at endpoints with malformed heads, want %d", n, want)
+					}
 
-		s = newSite(t)
-		s.setSequence(func(n int) string {
-			if n == 0 {
-				return broken
+					s = newSite(t)
+					s.setSequence(func(n int) string {
+						if n == 0 {
+							return broken
+						}
+						return whole
+					})
+					got, err = s.do("POST", r.path, "")
+					if !r.repeatable {
+						s.checkFailure(got, err, fault.Message)
+					} else if err != nil || got.Status != 200 || got.Body != r.body {
+						t.Errorf("status %d, body %q, error %v, want the whole answer of the other endpoint", got.Status, got.Body, err)
+					}
+				})
 			}
-			return whole
-		})
-		got, err = s.do("POST", r.path, "")
-		if !r.repeatable {
-			s.checkFailure(got, err, fault.Message)
-		} else if err != nil || got.Status != 200 || got.Body != r.body {
-			t.Errorf("status %d, body %q, error %v, want the whole answer of the other endpoint", got.Status, got.Body, err)
 		}
-	})
+	}
 }
 
 // TestMalformedHeadOnKeptConnection guards against a malformed head that is delivered because earlier answers on the connection were
--- a/http1/http1test/http1test.go
+++ b/http1/http1test/http1test.go
@@ -1,4 +1,4 @@
-// Package http1test has servers whose responses are written byte by byte, and faults of responses, for tests of clients.
+// Package http1test has servers whose responses are given as bytes, and faults of responses, for tests of clients.
 package http1test
 
 import (
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -32,8 +32,8 @@
 	return &Transport{transport: t}
 }
 
-// errNoHead is the error for a response whose head arrived before the connection was used for the request.
-var errNoHead = errors.New("the response arrived before the request was sent")
+// errTooEarly is the error for a response whose head arrived before the connection was used for the request.
+var errTooEarly = errors.New("the response arrived before the request was sent")
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -64,7 +64,7 @@
 	}
 	if !conn.Load().hasHead() {
 		resp.Body.Close()
-		return nil, errNoHead
+		return nil, errTooEarly
 	}
 	return resp, nil
 }
