--- a/http1/head.go
+++ b/http1/head.go
@@ -17,9 +17,9 @@
 type headPart uint8
 
 const (
-	statusLine headPart = iota
-	fieldLines
-	body
+	partStatusLine headPart = iota
+	partFields
+	partBody // behind the head
 )
 
 // headScanner checks the head of a response as its bytes arrive. The HTTP parsers of net/http and fasthttp accept heads that RFC 9112 does
@@ -35,7 +35,7 @@
 // no more than these cannot complete the head.
 func (s *headScanner) scan(b []byte) (int, error) {
 	n := 0
-	for n < len(b) && s.part != body {
+	for n < len(b) && s.part != partBody {
 		length := bytes.IndexByte(b[n:], '\n')
 		if length < 0 {
 			if len(s.line)+len(b)-n > maxHeadLineBytes {
@@ -61,16 +61,16 @@
 // checkLine checks one line without its end.
 func (s *headScanner) checkLine(line []byte) error {
 	switch {
-	case s.part == statusLine && len(line) == 0:
+	case s.part == partStatusLine && len(line) == 0:
 		return nil // fasthttp skips empty lines before a head, net/http returns an error
-	case s.part == statusLine:
+	case s.part == partStatusLine:
 		return s.checkStatusLine(line)
 	case len(line) > 0:
 		return s.checkField(line)
 	case s.interim:
-		s.part = statusLine
+		s.part = partStatusLine
 	default:
-		s.part = body
+		s.part = partBody
 		s.line = nil
 	}
 	return nil
@@ -93,7 +93,7 @@
 	}
 	s.interim = code[0] == '1'
 	s.notHTTP11 = string(version) != "HTTP/1.1"
-	s.part = fieldLines
+	s.part = partFields
 	return nil
 }
 
--- a/http1/responseconn.go
+++ b/http1/responseconn.go
@@ -62,7 +62,7 @@
 func (c *responseConn) hasHead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.part == body && c.fault == nil
+	return c.head.part == partBody && c.fault == nil
 }
 
 // headFault returns the fault of the head, if any.
