endpoint, peer, gateway: Watch the share of long prompts that are placed, by size

A refusal told the prediction of its VM and a wait told what its tries saw, but no log or metric had the share of a size that was served, which is what callers saw. VMs now count long prompts placed and refused by half octaves of prefill time, for each service and TTFT target, and report new counts with their load reports: each prompt is one row of about 20 bytes to the VMs of the cell, once. A lost datagram loses its rows. Decisions do not change: TestEqualPrioritiesDecideAsBefore passes.

--- a/endpoint/explain.go
+++ b/endpoint/explain.go
@@ -147,6 +147,7 @@
 	maps.Copy(c.peerWaitingPrompts, f.peerWaitingPrompts)
 	copyValues(c.reachability, f.reachability)
 	copyValues(c.scarcity, f.scarcity)
+	copyValues(c.sizes.recent, f.sizes.recent)
 	cells := f.cells
 	cells.joined = map[Cell]*joinedCell{}
 	copyValues(cells.joined, f.cells.joined)
--- a/endpoint/fleet.go
+++ b/endpoint/fleet.go
@@ -46,6 +46,7 @@
 	shares                    *Shares                       // nil if customers have no fair shares
 	explainRandom             func() float64                // random numbers of explanations, so that they take none from random
 	trace                     *trace                        // set only in the copy of a fleet that explains a selection
+	sizes                     sizes                         // placements of long prompts by size
 }
 
 // member is one endpoint of a fleet. Invariant: it is in members, byKey and the pool of its service, or in none of them.
@@ -100,6 +101,7 @@
 		newestSent:         map[string]time.Time{},
 		left:               map[run]time.Time{},
 		departures:         map[departureKey]*Departures{},
+		sizes:              newSizes(),
 		cells: cells{
 			joined: map[Cell]*joinedCell{}, summaries: map[summaryKey]receivedSummary{}, own: map[string]receivedSummary{},
 		},
--- a/endpoint/longburst_test.go
+++ b/endpoint/longburst_test.go
@@ -379,6 +379,7 @@
 		p.tryAt, p.reason, p.refused = p.sentAt, refusal.Reason(), p.repeated > p.kind.repeats
 		return
 	}
+	fleet.RecordPlacement(now, model, prompt, refusal)
 	if refusal != nil {
 		p.reason = refusal.Reason()
 		p.sentAt = now.Add(refusal.RetryAfter())
--- a/endpoint/longprompt.go
+++ b/endpoint/longprompt.go
@@ -148,7 +148,8 @@
 	if !forced && !prompt.Retried {
 		// The engines are left to prompts that can still meet their targets.
 		if preceding := f.precedingPrefillLocked(wait, now, s); preceding > 0 {
-			return nil, refuseLate(prompt, fmt.Sprintf("its target is missed, and waiting prompts with %v of prefill precede it", preceding.Round(time.Millisecond)))
+			size := f.promptSizeLocked(now, s, prompt.TTFTTarget, wait.Prefill)
+			return nil, refuseLate(prompt, fmt.Sprintf("its target is missed, and waiting prompts with %v of prefill precede it%s", preceding.Round(time.Millisecond), size.suffix()))
 		}
 	}
 	if forced || !f.hasPrecedingLocked(wait, now, s) {
@@ -193,13 +194,14 @@
 	longestWait                   time.Duration // longest wait at which the prompt is accepted
 	relaxedEngines, strictEngines int           // engines without and with streams that accept only short token gaps
 	retried                       bool
+	size                          SizeShare
 }
 
 // String returns the figures of the prediction for logs.
 func (o *outlook) String() string {
 	round := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
-	return fmt.Sprintf("prefill %v, predicted wait %v of at most %v, %v of it for waiting prompts, on %d relaxed and %d strict engines, retried %t",
-		round(o.prefill), round(o.queueWait), round(o.longestWait), round(o.preceding), o.relaxedEngines, o.strictEngines, o.retried)
+	return fmt.Sprintf("prefill %v, predicted wait %v of at most %v, %v of it for waiting prompts, on %d relaxed and %d strict engines, retried %t%s",
+		round(o.prefill), round(o.queueWait), round(o.longestWait), round(o.preceding), o.relaxedEngines, o.strictEngines, o.retried, o.size.suffix())
 }
 
 // outlook predicts whether a prompt that has just arrived can start by its latest start or, if its caller came back after a refusal,
@@ -208,6 +210,7 @@
 // does not wait in vain.
 func (f *Fleet) outlook(now time.Time, wait *WaitingPrompt, candidates []candidate, neededTokens int, s *Service, prompt Prompt) outlook {
 	o := outlook{prefill: wait.Prefill, preceding: f.unavoidablePrefillLocked(wait, now, s), longestWait: wait.StartBy.Sub(now), retried: prompt.Retried}
+	o.size = f.promptSizeLocked(now, s, prompt.TTFTTarget, wait.Prefill)
 	strictSegment := stepBudget(s)
 	if prompt.Retried {
 		strictSegment = 0 // late in any case, so it uses only engines where it disturbs no stream
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -194,6 +194,10 @@
 		waiter.Cancel()
 		q.logWait(waiter, sel != nil)
 	}
+	if len(q.tried) == 0 {
+		now := time.Now()
+		q.h.fleet.RecordPlacement(now, q.service, q.prompt(now, nil), refusal)
+	}
 	return sel, refusal
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,7 +134,7 @@
 	}
 	g.feed.start(g.exchange)
 	g.parts.start()
-	loops := []func(context.Context){g.closeIdle, g.probeUnreachable, g.watchPaces, g.reportPlacement, g.watchScarcity}
+	loops := []func(context.Context){g.closeIdle, g.probeUnreachable, g.watchPaces, g.reportPlacement, g.watchScarcity, g.watchSizes}
 	if g.shares != nil {
 		loops = append(loops, newSharePublisher(g.shares, g.logger, g.registry).run)
 	}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -420,7 +420,8 @@
 		m.WaitingPrompts, m.Suspects, m.Leaving = encodeWaitingPrompts(prompts, now), encodeSuspects(suspects, now), encodeLeaving(leaving)
 		m.WaitingRanks = encodeRanks(prompts)
 	}
-	if len(loads) > 0 || m.WaitingPrompts != nil || m.Paces != nil {
+	m.Placements = encodePlacements(x.fleet.TakePlacements())
+	if len(loads) > 0 || m.WaitingPrompts != nil || m.Paces != nil || m.Placements != nil {
 		x.sendLoadsLocked(m, loads, now, to)
 	}
 }
@@ -573,6 +574,7 @@
 	m.WaitingPrompts, m.WaitingRanks = encodeWaitingPrompts(prompts, now), encodeRanks(prompts)
 	m.Leaving, m.Paces = encodeLeaving(leaving), x.sendPacesLocked(paces, to)
 	m.Usage, m.Exceeding = usage, exceedingPositions(prompts)
+	m.Placements = encodePlacements(x.fleet.TakePlacements())
 	x.sendLoadsLocked(m, loads, now, to)
 	if len(changed) > 0 {
 		x.sendLoadsLocked(message{}, changed, now, ended)
@@ -673,6 +675,9 @@
 		prompts := decodeRanks(decodeWaitingPrompts(*m.WaitingPrompts, now), m.WaitingRanks)
 		x.fleet.MergeWaitingPrompts(now, m.From, markExceeding(prompts, m.Exceeding))
 	}
+	if len(m.Placements) > 0 {
+		x.fleet.MergePlacements(now, decodePlacements(m.Placements)) // also from a datagram that was overtaken: each one counts
+	}
 	if m.Heartbeat && x.shares != nil && !stale {
 		x.shares.Merge(now, m.From, decodeUsage(m.Usage))
 	}
