--- a/endpoint/longburst_test.go
+++ b/endpoint/longburst_test.go
@@ -44,7 +44,7 @@
 	// demand returns the shares of the three data centres in the demand at a time, by default equal ones.
 	demand func(at time.Duration) [3]float64
 	rate   func(kind int, at time.Duration) float64      // factor of the rate of arrivals, 1 if nil
-	change func(at time.Duration, fleet *endpoint.Fleet) // called before each tick for the fleet of the first VM
+	change func(at time.Duration, fleet *endpoint.Fleet) // called before each tick for the fleet of the first VM, or for each fleet if steps are simulated
 	steps  *stepModel                                    // simulates each step of the engines, nil if not needed
 }
 
@@ -161,6 +161,7 @@
 type simulation struct {
 	engine  *endpoint.Engine
 	steps   *stepModel
+	change  func(at time.Duration, fleet *endpoint.Fleet)
 	fleets  []*endpoint.Fleet // by VM
 	shares  *endpoint.Shares  // nil if customers have no fair shares
 	engines map[string]*burstEngine
@@ -266,7 +267,7 @@
 		e = &engine
 	}
 	e.Slots, e.IterationsPerStep, e.Delays = b.slots, b.iterationsPerStep, b.delays
-	s := &simulation{engine: e, steps: b.steps, engines: map[string]*burstEngine{}}
+	s := &simulation{engine: e, steps: b.steps, change: b.change, engines: map[string]*burstEngine{}}
 	if b.fairShares {
 		s.shares = endpoint.NewShares(endpoint.WithScarcity(func(now time.Time, service string) bool {
 			return b.scarce || s.fleets[0].Scarce(now, service)
@@ -477,3 +478,55 @@
 		}
 	}
 }
+
+// TestShareOfTheNextLargestFifth guards against sizes of the longest kind that starve because shorter prompts of the kind keep coming and
+// precede them. Bursts of the longest kind, from somewhat to far more than the engines can serve, meet two thirds of the engines and are
+// followed by a burst of the shortest kind. The next largest fifth must be served at least half as often as the whole kind.
+func TestShareOfTheNextLargestFifth(t *testing.T) {
+	t.Parallel()
+	for _, perSecond := range []float64{6, 7.8, 9.6, 11.4} {
+		t.Run(fmt.Sprint(perSecond, " a second"), func(t *testing.T) {
+			t.Parallel()
+			b := &burst{
+				engines: 69, slots: 12, iterationsPerStep: 57, length: 22 * time.Second, options: []endpoint.FleetOption{endpoint.WithSpareSlots(1)},
+				steps: &stepModel{slowness: func(int, time.Duration) float64 { return 1 }},
+				kinds: []promptKind{
+					{perSecond: 55, tokens: 4_960, sigma: 0.77, most: 23_800, output: 1_810, target: 300 * time.Millisecond, gapLimit: 250 * time.Millisecond, timeLimit: 10 * time.Second},
+					{perSecond: 12, tokens: 45_000, sigma: 0.47, most: 110_000, output: 1_083, target: 1500 * time.Millisecond, gapLimit: 600 * time.Millisecond, timeLimit: 10 * time.Second},
+					{perSecond: perSecond, tokens: 220_000, sigma: 0.52, most: 700_000, output: 906, target: 4 * time.Second, gapLimit: time.Second, timeLimit: 15 * time.Second},
+				},
+				rate: func(kind int, at time.Duration) float64 {
+					if at < 10*time.Second {
+						return 1
+					}
+					return []float64{3.3, 0.5, 0.12}[kind]
+				},
+				drained: "dc1",
+				change: func(at time.Duration, f *endpoint.Fleet) {
+					if at == 10300*time.Millisecond {
+						f.SetDrained(start.Add(at), nil)
+					}
+				},
+			}
+			prompts := b.runSeeds(16)
+			var longest []*burstPrompt
+			onTarget, of := make([]int, len(b.kinds)), make([]int, len(b.kinds))
+			for _, p := range prompts {
+				kind := b.kindOf(p)
+				if of[kind]++; p.good() {
+					onTarget[kind]++
+				}
+				if kind == len(b.kinds)-1 {
+					longest = append(longest, p)
+				}
+			}
+			slices.SortFunc(longest, func(a, b *burstPrompt) int { return cmp.Compare(b.tokens, a.tokens) })
+			n, all := len(longest), servedShare(longest)
+			got := servedShare(longest[n/10 : 3*n/10])
+			t.Logf("of the largest tenth %.2f were served, of the next fifth %.2f, of all %d %.2f; on target %d of %d", servedShare(longest[:n/10]), got, n, all, onTarget, of)
+			if got < all/2 {
+				t.Errorf("of the next largest fifth %.2f were served, of all %.2f", got, all)
+			}
+		})
+	}
+}
--- a/endpoint/stepburst_test.go
+++ b/endpoint/stepburst_test.go
@@ -7,8 +7,8 @@
 	"goldcrestpath/endpoint"
 )
 
-// stepModel extends a burst: engines run each step, and streams get an event at its end. VMs learn of loads and paces at once. Changes
-// during the run and the parts of engines that customers occupy are not simulated together with steps.
+// stepModel extends a burst: engines run each step, and streams get an event at its end. VMs learn of loads and paces at once. The parts of
+// engines that customers occupy are not simulated together with steps.
 type stepModel struct {
 	// slowness returns the factor by which an engine is slower than configured.
 	slowness func(engine int, at time.Duration) float64
@@ -51,6 +51,11 @@
 	open := slices.Clone(prompts)
 	slices.SortStableFunc(open, func(a, b *burstPrompt) int { return a.createdAt.Compare(b.createdAt) })
 	for now := start; len(open) > 0; now = now.Add(burstTick) {
+		if s.change != nil {
+			for _, f := range s.fleets {
+				s.change(now.Sub(start), f)
+			}
+		}
 		for _, e := range s.order {
 			s.step(e, now)
 		}
