endpoint: Keep the larger of the long prompts from starving behind shorter ones

Cause: the order of waiting prompts is by cost, and all three refusals follow it, so a size gets what the shorter ones leave. Nothing measured or bounded that share.

Now the share of each size, which VMs exchange since, feeds back: while a class of half an octave is placed less than 0.7 times as often as all prompts of its service and target, its prompts count with a quarter of their prefill in the order, wait past their target instead of being refused for others, and may wait longer on return. They never disturb streams. Prompts whose segments fit beside no stream keep their place, because at the front they only hold up the others.

TestEqualPrioritiesDecideAsBefore passes: without placements on record nothing changes. The positions of flagged prompts in messages share one function now.

--- a/endpoint/longprompt.go
+++ b/endpoint/longprompt.go
@@ -47,6 +47,8 @@
 	// retriedWaitShare is the share of its time limit that a prompt may be predicted to wait whose caller came back after a refusal. It
 	// is late in any case, and many callers come back only once.
 	retriedWaitShare = 0.2
+	// laggingWaitShare replaces retriedWaitShare for prompts whose size lags.
+	laggingWaitShare = 0.4
 	// retryAfterShare is the share of the remaining time after which the caller of a refused prompt should send it again. Callers
 	// wait for at most a third of the remaining time.
 	retryAfterShare = 0.33
@@ -62,6 +64,11 @@
 	if prompt.Waiter != nil {
 		wait = prompt.Waiter.WaitingPrompt
 		wait.Queue = queueKey(s.Name, c)
+		if lags := f.gainsPlaceLocked(now, s, prompt, prefill); lags != wait.Lags {
+			wait.Lags, prompt.Waiter.Lags = lags, lags
+			f.waitingPromptsChanged = true
+			f.signalStateChangedLocked()
+		}
 	}
 	arriving := prompt.Waiter == nil && prompt.Waited <= prompt.TTFTTarget/arrivalDivisor
 	if arriving {
@@ -138,17 +145,21 @@
 
 // selectForLate returns engines for a prompt that can no longer meet its TTFT target. Until forceShare of the prompt's time limit
 // has passed, the prompt lets those precede that can still meet their targets, and uses only engines whose streams it does not
-// disturb. After that, it may also use engines where it disturbs the fewest streams. A prompt of a customer that exceeds its share is
-// refused instead.
+// disturb. After that, it may also use engines where it disturbs the fewest streams. A prompt whose size lags waits beside the others until
+// then instead of being refused for them, but never disturbs streams. A prompt of a customer that exceeds its share is refused.
 func (f *Fleet) selectForLate(now time.Time, wait *WaitingPrompt, candidates []candidate, prefill time.Duration, neededTokens, maxEngines int, s *Service, prompt Prompt) ([]candidate, *customer.Refusal) {
 	if prompt.exceeds {
 		return nil, refuseLate(prompt, "its target is missed")
 	}
 	forced := prompt.Waited >= time.Duration(forceShare*float64(prompt.TimeLimit))
-	if !forced && !prompt.Retried {
+	size := f.promptSizeLocked(now, s, prompt.TTFTTarget, wait.Prefill)
+	lags := size.Lags()
+	if lags && forced {
+		return nil, refuseLate(prompt, "its target is missed"+size.suffix())
+	}
+	if !forced && !prompt.Retried && !lags {
 		// The engines are left to prompts that can still meet their targets.
 		if preceding := f.precedingPrefillLocked(wait, now, s); preceding > 0 {
-			size := f.promptSizeLocked(now, s, prompt.TTFTTarget, wait.Prefill)
 			return nil, refuseLate(prompt, fmt.Sprintf("its target is missed, and waiting prompts with %v of prefill precede it%s", preceding.Round(time.Millisecond), size.suffix()))
 		}
 	}
@@ -205,7 +216,7 @@
 }
 
 // outlook predicts whether a prompt that has just arrived can start by its latest start or, if its caller came back after a refusal,
-// within retriedWaitShare of its time limit. It cannot if the prompts that precede it and the prefills in progress take too long on
+// within retriedWaitShare or laggingWaitShare of its time limit. It cannot if the prompts that precede it and the prefills in progress take too long on
 // the engines available to long prompts, or if its segments would be too long. Such a prompt is refused at once, so that its caller
 // does not wait in vain.
 func (f *Fleet) outlook(now time.Time, wait *WaitingPrompt, candidates []candidate, neededTokens int, s *Service, prompt Prompt) outlook {
@@ -214,7 +225,11 @@
 	strictSegment := stepBudget(s)
 	if prompt.Retried {
 		strictSegment = 0 // late in any case, so it uses only engines where it disturbs no stream
-		o.longestWait = time.Duration(retriedWaitShare * float64(prompt.TimeLimit))
+		waitShare := retriedWaitShare
+		if o.size.Lags() {
+			waitShare = laggingWaitShare
+		}
+		o.longestWait = time.Duration(waitShare * float64(prompt.TimeLimit))
 	}
 	queuedTime, capacity := o.preceding, 0.0
 	for i := range candidates {
--- a/endpoint/sizeshare.go
+++ b/endpoint/sizeshare.go
@@ -20,9 +20,9 @@
 	sizesPerOctave = 2
 	// maxSizeClasses bounds the classes with recent placements. Further ones are not tracked.
 	maxSizeClasses = 512
-	// minSizeShare is the part of the share of all prompts below which a class lags. The operators require one half; the rest is margin for
-	// classes that are cut off elsewhere than theirs.
-	minSizeShare = 0.6
+	// minSizeShare is the part of the share of all prompts below which a class lags. The operators require one half, of the prompts between two
+	// quantiles; the rest is margin for classes that are cut off elsewhere.
+	minSizeShare = 0.7
 )
 
 // SizeClass is a group of long prompts that cost about the same. Prompts are compared with those of the same service and TTFT target.
@@ -54,7 +54,9 @@
 }
 
 // Lags reports whether prompts of the class are placed too rarely.
-func (s *SizeShare) Lags() bool { return s.Share < minSizeShare*s.ShareAll }
+func (s *SizeShare) Lags() bool {
+	return s.Share < minSizeShare*s.ShareAll
+}
 
 // suffix returns the shares as the last part of the cause of a refusal, or "" without placements.
 func (s *SizeShare) suffix() string {
@@ -222,3 +224,14 @@
 	}
 	return ""
 }
+
+// gainsPlaceLocked reports whether a prompt of a size that lags gains from an earlier place in the order of waiting prompts. One whose
+// segments disturb even streams like its own needs engines without any, and would keep the others waiting for them.
+func (f *Fleet) gainsPlaceLocked(now time.Time, s *Service, p Prompt, prefill time.Duration) bool {
+	step := s.Engine.StepTime(s.Engine.Slots/2, s.Engine.KVTokens/8)
+	if p.GapLimit > 0 && prefill/(maxHelpers+1)+step > p.GapLimit-gapMargin {
+		return false
+	}
+	size := f.promptSizeLocked(now, s, p.TTFTTarget, prefill)
+	return size.Lags()
+}
--- a/endpoint/waiting.go
+++ b/endpoint/waiting.go
@@ -15,6 +15,7 @@
 	ID          uint64        // distinguishes prompts that are otherwise equal
 	Rank        Rank          // urgency, UnknownRank if the peer did not report it
 	Exceeds     bool          // its customer exceeded its share when the prompt began to wait
+	Lags        bool          // prompts of its size are placed too rarely, and an earlier place in the order helps it
 }
 
 // Waiter is a waiting prompt of this VM. It counts as waiting until Cancel is called.
@@ -61,7 +62,8 @@
 // precedes reports whether w comes before o in the order of waiting prompts for the engines of s. Prompts that can still meet their
 // targets come first. If the service is prioritised, the more urgent of two prompts comes first then. Of equally urgent ones, those of
 // customers that exceed their shares come last. Among the rest, shorter ones come first, because each occupies the engines for less time.
-// The length counts for less as the latest start approaches, so that a steady load of shorter prompts does not starve the longest ones.
+// The length counts for less as the latest start approaches and while prompts of that size are placed too rarely, so that a steady load of
+// shorter prompts does not starve longer ones.
 // All VMs apply the same order to the prompts that they know.
 func (w *WaitingPrompt) precedes(o *WaitingPrompt, now time.Time, s *Service) bool {
 	late, otherLate := now.After(w.StartBy), now.After(o.StartBy)
@@ -82,13 +84,21 @@
 	return w.ID < o.ID
 }
 
-// priority returns the prefill time of the prompt, reduced by the elapsed fraction of StartWithin. Lower values come first.
+// laggingWeight is the weight of the prefill time in the order of waiting prompts whose size lags. With a much lower one, prompts that need many
+// engines stand first for longer than the engines that they wait for are worth.
+const laggingWeight = 0.25
+
+// priority returns the prefill time of the prompt, reduced by the elapsed fraction of StartWithin and, if its size lags, by laggingWeight.
+// Lower values come first.
 func (w *WaitingPrompt) priority(now time.Time) time.Duration {
-	remaining := w.StartBy.Sub(now)
-	if remaining <= 0 || w.StartWithin <= 0 {
-		return w.Prefill
+	prefill := float64(w.Prefill)
+	if w.Lags {
+		prefill *= laggingWeight
+	}
+	if remaining := w.StartBy.Sub(now); remaining > 0 && w.StartWithin > 0 {
+		prefill *= min(float64(remaining)/float64(w.StartWithin), 1)
 	}
-	return time.Duration(float64(w.Prefill) * min(float64(remaining)/float64(w.StartWithin), 1))
+	return time.Duration(prefill)
 }
 
 // peerWaitingPrompts holds the waiting prompts that a peer reported.
@@ -114,6 +124,7 @@
 	w := WaitingPrompt{Queue: queueKey(service, c), ID: rand.Uint64(), Rank: p.Rank, Exceeds: p.exceeds}
 	if s := f.services[service]; s != nil && s.Engine != nil {
 		w.Prefill = s.Engine.PrefillTime(p.Tokens)
+		w.Lags = f.gainsPlaceLocked(now, s, p, w.Prefill)
 	}
 	engines := min(maxHelpers+1, max(len(f.pools[service]), 1))
 	w.StartWithin = p.TTFTTarget - w.Prefill/time.Duration(engines) - startOverhead
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -416,7 +416,7 @@
 	to := x.reachableLocked()
 	m := message{Paces: x.sendPacesLocked(paces, to)}
 	if changed || len(suspects)+len(leaving) > 0 {
-		m.Exceeding = exceedingPositions(prompts)
+		m.Exceeding, m.Lagging = positionsOf(prompts, exceeds), positionsOf(prompts, lags)
 		m.WaitingPrompts, m.Suspects, m.Leaving = encodeWaitingPrompts(prompts, now), encodeSuspects(suspects, now), encodeLeaving(leaving)
 		m.WaitingRanks = encodeRanks(prompts)
 	}
@@ -573,7 +573,7 @@
 	m := x.heartbeatLocked(now)
 	m.WaitingPrompts, m.WaitingRanks = encodeWaitingPrompts(prompts, now), encodeRanks(prompts)
 	m.Leaving, m.Paces = encodeLeaving(leaving), x.sendPacesLocked(paces, to)
-	m.Usage, m.Exceeding = usage, exceedingPositions(prompts)
+	m.Usage, m.Exceeding, m.Lagging = usage, positionsOf(prompts, exceeds), positionsOf(prompts, lags)
 	m.Placements = encodePlacements(x.fleet.TakePlacements())
 	x.sendLoadsLocked(m, loads, now, to)
 	if len(changed) > 0 {
@@ -673,7 +673,7 @@
 	}
 	if m.WaitingPrompts != nil && !stale {
 		prompts := decodeRanks(decodeWaitingPrompts(*m.WaitingPrompts, now), m.WaitingRanks)
-		x.fleet.MergeWaitingPrompts(now, m.From, markExceeding(prompts, m.Exceeding))
+		x.fleet.MergeWaitingPrompts(now, m.From, mark(mark(prompts, m.Exceeding, exceeds), m.Lagging, lags))
 	}
 	if len(m.Placements) > 0 {
 		x.fleet.MergePlacements(now, decodePlacements(m.Placements)) // also from a datagram that was overtaken: each one counts
--- a/peer/message.go
+++ b/peer/message.go
@@ -31,6 +31,7 @@
 	Paces          *[]pace          `cbor:"19,keyasint,omitempty"` // all paces of engines that the sender reports, nil if not included
 	Usage          []usage          `cbor:"18,keyasint,omitempty"` // use by the sender's largest customers, in heartbeats while capacity is scarce
 	Exceeding      []int            `cbor:"20,keyasint,omitempty"` // positions in WaitingPrompts of those whose customers exceed their shares
+	Lagging        []int            `cbor:"22,keyasint,omitempty"` // positions in WaitingPrompts of those whose sizes lag
 	Placements     []placement      `cbor:"21,keyasint,omitempty"` // placements of long prompts since the sender's last message with some
 }
 
--- a/peer/usage.go
+++ b/peer/usage.go
@@ -43,22 +43,26 @@
 	return out
 }
 
-// exceedingPositions returns the positions of the prompts whose customers exceed their shares.
-func exceedingPositions(prompts []endpoint.WaitingPrompt) []int {
+// exceeds and lags select a flag of a waiting prompt that is sent as a list of positions.
+func exceeds(p *endpoint.WaitingPrompt) *bool { return &p.Exceeds }
+func lags(p *endpoint.WaitingPrompt) *bool    { return &p.Lags }
+
+// positionsOf returns the positions of the prompts whose flag is set.
+func positionsOf(prompts []endpoint.WaitingPrompt, flag func(*endpoint.WaitingPrompt) *bool) []int {
 	var positions []int
 	for i := range prompts {
-		if prompts[i].Exceeds {
+		if *flag(&prompts[i]) {
 			positions = append(positions, i)
 		}
 	}
 	return positions
 }
 
-// markExceeding sets Exceeds for the prompts at the given positions. It ignores positions that do not exist.
-func markExceeding(prompts []endpoint.WaitingPrompt, positions []int) []endpoint.WaitingPrompt {
+// mark sets a flag of the prompts at the given positions. It ignores positions that do not exist.
+func mark(prompts []endpoint.WaitingPrompt, positions []int, flag func(*endpoint.WaitingPrompt) *bool) []endpoint.WaitingPrompt {
 	for _, i := range positions {
 		if i >= 0 && i < len(prompts) {
-			prompts[i].Exceeds = true
+			*flag(&prompts[i]) = true
 		}
 	}
 	return prompts
