peer, gateway, forward: Tell a cut of this VM from a loss of the endpoints

A failed connection looked the same in the logs whether the endpoint was gone or only this VM had lost its path. Heartbeats and beacons now say whether their sender reaches no endpoint, the line on isolation names how many VMs of the cell reach some and how many none, and counters tell connections that time out from refused ones.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -8,9 +8,11 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"goldcrestpath/customer"
 	"goldcrestpath/endpoint"
@@ -67,6 +69,8 @@
 		verdict := customer.NotRun
 		if wrote.Load() {
 			verdict = customer.MayHaveRun
+		} else {
+			q.h.notOpened(dialFault(err)).Inc(1)
 		}
 		return AnswerHead{}, nil, &sendError{verdict: verdict, err: err}
 	}
@@ -79,6 +83,18 @@
 	return head, resp, nil
 }
 
+// dialFault returns why a connection was not opened, for counters.
+func dialFault(err error) string {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "timeout"
+	}
+	return "other"
+}
+
 // RecordNotice passes on what an endpoint's answer says of the endpoint itself.
 func (h *Handler) RecordNotice(id string, n endpoint.Notice) {
 	if n == (endpoint.Notice{}) {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -62,6 +62,7 @@
 	stop       *stop
 	memory     *Memory
 	clientsCut func(reason string) metrics.Counter
+	notOpened  func(cause string) metrics.Counter
 	cutLines   *rate.Limiter    // of log lines
 	shares     *endpoint.Shares // nil if customers have no fair shares
 
@@ -127,6 +128,7 @@
 	h.clientsCut = func(reason string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("forward.clientsCut."+reason, r)
 	}
+	h.notOpened = func(cause string) metrics.Counter { return metrics.GetOrRegisterCounter("forward.notOpened."+cause, r) }
 	h.answered = metrics.GetOrRegisterTimer("forward.answered", r)
 	h.firstEvent = metrics.GetOrRegisterTimer("forward.firstEvent", r)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -434,7 +434,8 @@
 		}
 		if now := g.fleet.Isolated(); now != isolated {
 			isolated = now
-			g.logger.WithField("isolated", now).Warn("gateway: whether any endpoint can be reached changed")
+			reaching, cutOff := g.exchange.Reach()
+			g.logger.WithFields(log.Fields{"isolated": now, "peersReaching": reaching, "peersCutOff": cutOff}).Warn("gateway: whether any endpoint can be reached changed")
 		}
 	}
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -136,6 +136,7 @@
 	dataCentre    string    // "" until known
 	home          endpoint.Cell
 	joined        []endpoint.Cell // other cells that it takes part in
+	cutOff        bool            // it reaches no endpoint, by its last heartbeat or beacon
 }
 
 // Option configures an Exchange.
@@ -279,6 +280,23 @@
 	return alive
 }
 
+// Reach returns how many live VMs of this VM's cell reach endpoints and how many are cut off from all of them, by their last heartbeats.
+func (x *Exchange) Reach() (reaching, cutOff int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	for _, p := range x.peers {
+		switch {
+		case p.home != x.home || !x.isAliveLocked(p, now):
+		case p.cutOff:
+			cutOff++
+		default:
+			reaching++
+		}
+	}
+	return reaching, cutOff
+}
+
 // Len returns the number of known VMs of the deployment, including this one.
 func (x *Exchange) Len() int {
 	x.mu.Lock()
@@ -473,6 +491,7 @@
 func (x *Exchange) heartbeatLocked(now time.Time) message {
 	return message{
 		Heartbeat: true, Peers: samplePeers(x.aliveLocked(now)), DataCentre: x.dataCentre, Joined: x.joined, Continuity: x.store.Continuity().Milliseconds(),
+		CutOff: x.fleet.Isolated(),
 	}
 }
 
@@ -595,7 +614,7 @@
 	}
 	x.sendLocked(message{
 		Peers: samplePeers(x.aliveLocked(now)), DataCentre: x.dataCentre, Joined: x.joined, Summaries: encodeSummaries(summaries),
-		Continuity: x.store.Continuity().Milliseconds(),
+		Continuity: x.store.Continuity().Milliseconds(), CutOff: x.fleet.Isolated(),
 	}, to)
 }
 
@@ -719,9 +738,9 @@
 	}
 	shared := x.sharesCellLocked(p)
 	if m.DataCentre != "" && !stale {
-		// The data centre and the joined cells are part of heartbeats and beacons only.
+		// The data centre, the joined cells and whether the VM is cut off are part of heartbeats and beacons only.
 		x.changed = x.changed || p.dataCentre != m.DataCentre
-		p.dataCentre, p.joined = m.DataCentre, m.Joined
+		p.dataCentre, p.joined, p.cutOff = m.DataCentre, m.Joined, m.CutOff
 	}
 	x.updateMembersLocked()
 	if x.sharesCellLocked(p) && m.Heartbeat && (newlyReachable || !shared) {
--- a/peer/message.go
+++ b/peer/message.go
@@ -32,6 +32,7 @@
 	Usage          []usage          `cbor:"18,keyasint,omitempty"` // use by the sender's largest customers, in heartbeats while capacity is scarce
 	Exceeding      []int            `cbor:"20,keyasint,omitempty"` // positions in WaitingPrompts of those whose customers exceed their shares
 	Lagging        []int            `cbor:"22,keyasint,omitempty"` // positions in WaitingPrompts of those whose sizes lag
+	CutOff         bool             `cbor:"23,keyasint,omitempty"` // the sender reaches no endpoint, in heartbeats and beacons
 	Placements     []placement      `cbor:"21,keyasint,omitempty"` // placements of long prompts since the sender's last message with some
 }
 
