--- a/forward/handler.go
+++ b/forward/handler.go
@@ -30,6 +30,9 @@
 	maxIdlePerEndpoint = 8
 )
 
+// Dial opens a connection to an endpoint.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Limits of answers that have no end of their own.
 const (
 	// maxAnswerHeadBytes limits the head of an endpoint's answer.
@@ -58,7 +61,7 @@
 
 	quarantine *endpoint.Quarantine // nil if no prompt is quarantined
 	trials     Trials
-	dial       func(ctx context.Context, network, address string) (net.Conn, error)
+	dial       Dial // opens connections to endpoints
 	stop       *stop
 	memory     *Memory
 	clientsCut func(reason string) metrics.Counter
@@ -85,6 +88,12 @@
 	return func(h *Handler) { h.reserver, h.holdTime = r, holdTime }
 }
 
+// WithDial sets how connections to endpoints are opened, in place of TCP connections that are closed soon after their peer becomes
+// unreachable. The context ends after the time for opening one.
+func WithDial(dial Dial) Option {
+	return func(h *Handler) { h.dial = dial }
+}
+
 // WithMemory limits the memory for the heads, bodies and answers of all requests to that many bytes.
 func WithMemory(bytes int64) Option { return WithAccount(NewMemory(bytes)) }
 
@@ -105,14 +114,14 @@
 	h := &Handler{codec: codec, fleet: fleet, budget: budget, logger: logger, random: rand.Float64, stop: newStop(),
 		memory: NewMemory(defaultMemory), cutLines: rate.NewLimiter(cutLinesPerSecond, cutLinesBurst)}
 	h.pooled = http1.NewTransport(&http.Transport{
-		DialContext: http1.NewDialer(dialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerEndpoint,
+		DialContext: h.dialWithin, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout: idleTimeout, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	})
 	h.unpooled = http1.NewTransport(&http.Transport{
-		DialContext: http1.NewDialer(dialTimeout).DialContext, DisableCompression: true, DisableKeepAlives: true,
+		DialContext: h.dialWithin, DisableCompression: true, DisableKeepAlives: true,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	})
-	h.dial = http1.NewDialer(endedProbeTimeout).DialContext
+	h.dial = http1.NewDialer(dialTimeout).DialContext
 	h.register(metrics.NewRegistry())
 	for _, opt := range opts {
 		opt(h)
@@ -121,6 +130,13 @@
 	return h
 }
 
+// dialWithin opens a connection to an endpoint within dialTimeout.
+func (h *Handler) dialWithin(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return h.dial(ctx, network, address)
+}
+
 // register gets the handler's counters and timers from the registry.
 func (h *Handler) register(r metrics.Registry) {
 	h.refused = func(reason string) metrics.Counter { return metrics.GetOrRegisterCounter("forward.refused."+reason, r) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	parts                 *partLog
 	exchange              *peer.Exchange
 	account               *forward.Memory
+	dial                  forward.Dial // opens connections to endpoints
 	callers               *http.Server
 	idleConns             *idleConns
 	internalServers       []*http.Server
@@ -88,14 +89,25 @@
 	entries map[string]endpoint.Entry // last applied entry of each endpoint, by ID
 }
 
+// Option configures a Gateway.
+type Option func(*Gateway)
+
+// WithDial sets how connections to endpoints are opened; see forward.WithDial.
+func WithDial(dial forward.Dial) Option {
+	return func(g *Gateway) { g.dial = dial }
+}
+
+// endpointDialTimeout limits the time to open a connection to an endpoint, unless the caller's context ends before.
+const endpointDialTimeout = 300 * time.Millisecond
+
 // New starts an entry VM, which writes its log to w. Listeners are open when it returns, but the VM is not ready until
 // it has read the configuration and the endpoints.
-func New(s *operator.GatewaySettings, version string, w io.Writer) (*Gateway, error) {
+func New(s *operator.GatewaySettings, version string, w io.Writer, opts ...Option) (*Gateway, error) {
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMiB()) * (1 << 20)))
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		settings: s, logOutput: newBoundedOutput(w), registry: metrics.NewRegistry(), cancel: cancel, idleConns: newIdleConns(),
-		drained: map[string]bool{}, entries: map[string]endpoint.Entry{},
+		dial: http1.NewDialer(endpointDialTimeout).DialContext, drained: map[string]bool{}, entries: map[string]endpoint.Entry{},
 		account: forward.NewMemory(int64(accountRatio * float64(s.MemoryMiB()) * (1 << 20))),
 	}
 	metrics.NewRegisteredFunctionalGauge("gateway.accountedBytes", g.registry, g.account.Used)
@@ -121,7 +133,10 @@
 	g.retryBudget.Started()
 	store := platform.NewStore(s.StoreAddress())
 	g.parts = newPartLog(ctx, store, g.logger, g.registry)
-	g.handler = forward.NewHandler(platform.Codec{}, g.fleet, g.retryBudget, g.logger, forward.WithRegistry(g.registry),
+	for _, opt := range opts {
+		opt(g)
+	}
+	g.handler = forward.NewHandler(platform.Codec{}, g.fleet, g.retryBudget, g.logger, forward.WithRegistry(g.registry), forward.WithDial(g.dial),
 		forward.WithQuarantine(g.parts.quarantine, g.parts), forward.WithAccount(g.account), forward.WithShares(g.shares),
 		forward.WithReserver(platform.NewReservationClient(g.recordNotice), time.Duration(holdRatio*float64(s.ReservationReleaseTime()))))
 	g.feed = newFeed(ctx, peer.VM{Address: self, DataCentre: s.DataCentre()}, store, peer.NewFetcher(), g.logger)
@@ -415,7 +430,6 @@
 func (g *Gateway) probeUnreachable(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
-	dialer := http1.NewDialer(probeTimeout)
 	isolated := false
 	for {
 		select {
@@ -424,7 +438,9 @@
 		case <-ticker.C:
 		}
 		for _, t := range g.fleet.ProbeTargets() {
-			conn, err := dialer.DialContext(ctx, "tcp", t.Address)
+			dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+			conn, err := g.dial(dialCtx, "tcp", t.Address)
+			cancel()
 			if err != nil {
 				continue // retried at the next tick
 			}
