peer, forward, endpoint, gateway: Reach endpoints through other VMs after the loss of a VM's paths

Those with open connections waited until their time limits.

Cause: a VM served a request only on connections of its own. When these hang, it turned readiness off, which keeps new callers away but serves nobody; when they are refused, it took each endpoint for one that had ended, and stayed ready.

Now a connection that cannot be opened is tried through another VM within the same attempt, since no byte was sent. Success is the evidence that the path and not the endpoint is lost; then requests go through other VMs until a probe succeeds. The other VM copies bytes and decides nothing, so the time limit, attempts, the retry budget and verdicts stay where they were.

The same cause elsewhere: a refused connection after a broken stream was evidence for the quarantine of a prompt's parts, which a cut VM would have given against sound ones; another VM is asked first. Orders to engines are dialed in the same way. A pause that an endpoint asks for is passed on to the relaying VM, whose address it sees.

TestConnectionLimits lists the new limit of relayed connections; callers lose seven connections of 126 where descriptors are few.

--- a/endpoint/fleet.go
+++ b/endpoint/fleet.go
@@ -47,6 +47,7 @@
 	explainRandom             func() float64                // random numbers of explanations, so that they take none from random
 	trace                     *trace                        // set only in the copy of a fleet that explains a selection
 	sizes                     sizes                         // placements of long prompts by size
+	paths                     lostPaths                     // paths that this VM has lost
 }
 
 // member is one endpoint of a fleet. Invariant: it is in members, byKey and the pool of its service, or in none of them.
@@ -102,6 +103,7 @@
 		left:               map[run]time.Time{},
 		departures:         map[departureKey]*Departures{},
 		sizes:              newSizes(),
+		paths:              newLostPaths(),
 		cells: cells{
 			joined: map[Cell]*joinedCell{}, summaries: map[summaryKey]receivedSummary{}, own: map[string]receivedSummary{},
 		},
@@ -374,11 +376,12 @@
 	r.record(o)
 }
 
-// ProbeTargets returns one endpoint to probe in each data centre that counts as unreachable. The endpoint is chosen at random.
+// ProbeTargets returns the endpoints to which connections should be tried: one in each data centre that counts as unreachable, chosen at random,
+// and some to which paths are lost.
 func (f *Fleet) ProbeTargets() []Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var targets []Target
+	targets := f.lostPathTargetsLocked()
 	for dataCentre, r := range f.reachability {
 		if r.usable() {
 			continue
@@ -399,8 +402,9 @@
 	return targets
 }
 
-// MarkReachable records that an endpoint accepted a connection, so its data centre is reachable.
+// MarkReachable records that an endpoint accepted a connection of this VM, so its data centre is reachable.
 func (f *Fleet) MarkReachable(id string) {
+	f.RecordConnected(id)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m := f.members[id]; m != nil {
--- a/endpoint/notice.go
+++ b/endpoint/notice.go
@@ -92,6 +92,17 @@
 	}
 }
 
+// MergePauses adds the pauses that endpoints asked of this VM in answers to requests that it relayed for a peer. Until is the end of the pause.
+func (f *Fleet) MergePauses(now time.Time, pauses []Suspect) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range pauses {
+		if m := f.byKey[p.Endpoint]; m != nil && p.Until.After(m.pausedUntil) && p.Until.Sub(now) <= maxPause {
+			m.pausedUntil = p.Until
+		}
+	}
+}
+
 // pausedLocked returns the time until an endpoint of the service accepts requests again, if all those that are not leaving have asked
 // for a pause.
 func (f *Fleet) pausedLocked(now time.Time, service string) (wait time.Duration, ok bool) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -42,29 +43,36 @@
 		attempt.ReservationID = res.id
 	}
 	var wrote, reused atomic.Bool
+	var remote atomic.Pointer[net.Addr]
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }, GotConn: func(info httptrace.GotConnInfo) {
 		wrote.Store(true)
 		reused.Store(info.Reused)
+		address := info.Conn.RemoteAddr()
+		remote.Store(&address)
 	}}
 	header := q.call.Header.Clone()
 	q.h.codec.EncodeAttempt(header, q.call, &attempt)
-	req := &http.Request{
-		Method: q.call.Method, URL: requestURL(attempt.Endpoint.Address, q.call.RequestTarget), Host: q.call.Host, Header: header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(q.call.Body)), Body: http.NoBody,
-	}
-	if len(q.call.Body) > 0 {
-		req.Body = readCloser{bytes.NewReader(q.call.Body)}
-	}
 	if header.Get("User-Agent") == "" {
 		header.Set("User-Agent", "") // keeps the transport from adding a default
 	}
-	transport := q.h.pooled
-	if !q.route.Kind.Repeatable() {
-		// An endpoint can close an idle connection while the request is written, which leaves open whether the request ran.
-		transport = q.h.unpooled
+	newRequest := func() *http.Request {
+		req := &http.Request{
+			Method: q.call.Method, URL: requestURL(attempt.Endpoint.Address, q.call.RequestTarget), Host: q.call.Host, Header: header,
+			Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(q.call.Body)), Body: http.NoBody,
+		}
+		if len(q.call.Body) > 0 {
+			req.Body = readCloser{bytes.NewReader(q.call.Body)}
+		}
+		return req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	}
 	sel.CountSent(now, len(q.call.Body))
-	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	resp, relayed, err := q.roundTrip(attempt.Endpoint, newRequest, wrote.Load)
+	q.relayed = relayed
+	if relayed {
+		q.h.relayedSends.Inc(1)
+	} else if wrote.Load() && !reused.Load() {
+		q.h.fleet.RecordConnected(attempt.Endpoint.ID)
+	}
 	if err != nil {
 		verdict := customer.NotRun
 		if wrote.Load() {
@@ -80,6 +88,9 @@
 		head.MatchesAttempt = true
 	}
 	q.h.RecordNotice(attempt.Endpoint.ID, head.Notice)
+	if relayed && head.Notice.Pause > 0 {
+		q.h.relays.ReportPause(*remote.Load(), attempt.Endpoint.ID, head.Notice.Pause)
+	}
 	return head, resp, nil
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -230,6 +230,9 @@
 	if reason := sel.LeaveReason(); reason != endpoint.LeaveNone {
 		fields["leaves"] = reason
 	}
+	if q.relayed {
+		fields["relayed"] = true
+	}
 	if refusal != nil {
 		fields["verdict"], fields["failure"] = refusal.Verdict().String(), refusal.Message()
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -43,25 +43,28 @@
 
 // Handler forwards requests. It implements http.Handler.
 type Handler struct {
-	codec      Codec
-	fleet      *endpoint.Fleet
-	budget     *endpoint.RetryBudget
-	reserver   Reserver
-	holdTime   time.Duration // how long a reservation lasts unless it is renewed
-	table      atomic.Pointer[operator.RoutingTable]
-	logger     log.Interface
-	pooled     *http1.Transport // reuses connections
-	unpooled   *http1.Transport // opens a new connection for each request
-	random     func() float64
-	running    atomic.Int64
-	refused    func(reason string) metrics.Counter
-	retried    func(reason string) metrics.Counter
-	answered   metrics.Timer
-	firstEvent metrics.Timer
+	codec        Codec
+	fleet        *endpoint.Fleet
+	budget       *endpoint.RetryBudget
+	reserver     Reserver
+	holdTime     time.Duration // how long a reservation lasts unless it is renewed
+	table        atomic.Pointer[operator.RoutingTable]
+	logger       log.Interface
+	pooled       *http1.Transport // reuses connections
+	unpooled     *http1.Transport // opens a new connection for each request
+	random       func() float64
+	running      atomic.Int64
+	refused      func(reason string) metrics.Counter
+	retried      func(reason string) metrics.Counter
+	answered     metrics.Timer
+	relayedSends metrics.Counter // attempts that were sent through another VM
+	firstEvent   metrics.Timer
 
 	quarantine *endpoint.Quarantine // nil if no prompt is quarantined
 	trials     Trials
-	dial       Dial // opens connections to endpoints
+	dial       Dial             // opens connections to endpoints
+	relays     Relays           // nil if endpoints are reached directly only
+	relayed    *http1.Transport // connections through other VMs
 	stop       *stop
 	memory     *Memory
 	clientsCut func(reason string) metrics.Counter
@@ -126,6 +129,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
+	h.relayed = h.newRelayed()
 	h.memory.ReportTo(h.RecordCut)
 	return h
 }
@@ -145,6 +149,7 @@
 		return metrics.GetOrRegisterCounter("forward.clientsCut."+reason, r)
 	}
 	h.notOpened = func(cause string) metrics.Counter { return metrics.GetOrRegisterCounter("forward.notOpened."+cause, r) }
+	h.relayedSends = metrics.GetOrRegisterCounter("forward.relayed", r)
 	h.answered = metrics.GetOrRegisterTimer("forward.answered", r)
 	h.firstEvent = metrics.GetOrRegisterTimer("forward.firstEvent", r)
 }
@@ -186,6 +191,7 @@
 	mayHaveRun bool      // an attempt may have run the request
 
 	notReached   bool        // the last attempt could not open a connection
+	relayed      bool        // the last attempt was sent through another VM
 	retryCharged atomic.Bool // the next retry has been charged to the budget
 
 	headBytes int       // accounted memory of the head
@@ -335,5 +341,6 @@
 	h.mu.Unlock()
 	h.background.Wait()
 	h.pooled.CloseIdleConnections()
+	h.relayed.CloseIdleConnections()
 	h.unpooled.CloseIdleConnections()
 }
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -4,11 +4,9 @@
 	"context"
 	"slices"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/pkg/errors"
 
 	"goldcrestpath/customer"
 	"goldcrestpath/endpoint"
@@ -18,8 +16,8 @@
 	// soundAfter is how long an engine has to go on with an answer for the prompt to count as sound. A part that crashes engines does
 	// so when the answer begins.
 	soundAfter = 300 * time.Millisecond
-	// endedProbeTimeout limits the connection that shows whether an engine has ended.
-	endedProbeTimeout = dialTimeout
+	// endedProbeTimeout limits the connections that show whether an engine has ended.
+	endedProbeTimeout = 3 * dialTimeout
 )
 
 // Trials grants trials: a single prompt with a quarantined part that is sent to show whether the part is sound. Of all VMs, at most one gets
@@ -119,12 +117,11 @@
 	h.inBackground(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endedProbeTimeout)
 		defer cancel()
-		conn, err := h.dial(ctx, "tcp", target.Address)
-		if err == nil {
-			conn.Close()
+		ended, err := h.hasEnded(ctx, target)
+		if err == nil && !ended {
 			return
 		}
-		if !errors.Is(err, syscall.ECONNREFUSED) {
+		if err != nil {
 			logger.WithError(err).WithField("endpoint", target.ID).Debug("forward: not known whether the engine ended")
 			return
 		}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -73,7 +73,7 @@
 }
 
 // connectionLimits are the limits of open connections of the listeners.
-type connectionLimits struct{ callers, ready, metrics, peers int }
+type connectionLimits struct{ callers, ready, metrics, peers, relays int }
 
 // newConnectionLimits derives the limits. Each connection of a caller can need another one to an endpoint. So that few descriptors
 // allow a gateway at all, at most half of them are reserved.
@@ -82,7 +82,8 @@
 	l := connectionLimits{
 		ready: max(descriptors/64, minConnections), metrics: max(descriptors/64, minConnections), peers: max(descriptors/16, minConnections),
 	}
-	left := (descriptors - reserved - l.ready - l.metrics - l.peers) / 2
+	l.relays = max(l.peers/2, 1) // of the connections of peers; each needs another one to an endpoint
+	left := (descriptors - reserved - l.ready - l.metrics - l.peers - l.relays) / 2
 	l.callers = max(min(left, int(connectionShare*float64(account)/connectionBytes)), minConnections)
 	return l
 }
--- a/gateway/clients_test.go
+++ b/gateway/clients_test.go
@@ -12,10 +12,10 @@
 		descriptors, memoryMiB int
 		want                   connectionLimits
 	}{
-		{64, 64, connectionLimits{callers: 8, ready: 8, metrics: 8, peers: 8}},
-		{500, 96, connectionLimits{callers: 126, ready: 8, metrics: 8, peers: 31}},
-		{2870, 136, connectionLimits{callers: 812, ready: 44, metrics: 44, peers: 179}}, // limited by memory
-		{8192, 536, connectionLimits{callers: 3201, ready: 128, metrics: 128, peers: 512}},
+		{64, 64, connectionLimits{callers: 8, ready: 8, metrics: 8, peers: 8, relays: 4}},
+		{500, 96, connectionLimits{callers: 119, ready: 8, metrics: 8, peers: 31, relays: 15}},
+		{2870, 136, connectionLimits{callers: 812, ready: 44, metrics: 44, peers: 179, relays: 89}}, // limited by memory
+		{8192, 536, connectionLimits{callers: 3201, ready: 128, metrics: 128, peers: 512, relays: 256}},
 	} {
 		account := int64(accountRatio * float64(c.memoryMiB) * (1 << 20))
 		if diff := cmp.Diff(c.want, newConnectionLimits(c.descriptors, account), cmp.AllowUnexported(connectionLimits{})); diff != "" {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,8 @@
 	exchange              *peer.Exchange
 	account               *forward.Memory
 	dial                  forward.Dial // opens connections to endpoints
+	relays                *peer.Relays
+	relayServer           *peer.RelayServer
 	callers               *http.Server
 	idleConns             *idleConns
 	internalServers       []*http.Server
@@ -138,7 +140,7 @@
 	}
 	g.handler = forward.NewHandler(platform.Codec{}, g.fleet, g.retryBudget, g.logger, forward.WithRegistry(g.registry), forward.WithDial(g.dial),
 		forward.WithQuarantine(g.parts.quarantine, g.parts), forward.WithAccount(g.account), forward.WithShares(g.shares),
-		forward.WithReserver(platform.NewReservationClient(g.recordNotice), time.Duration(holdRatio*float64(s.ReservationReleaseTime()))))
+		forward.WithRelays(relayDialer{g}), forward.WithReserver(platform.NewReservationClient(g.recordNotice, platform.WithDial(g.dialEndpoint)), time.Duration(holdRatio*float64(s.ReservationReleaseTime()))))
 	g.feed = newFeed(ctx, peer.VM{Address: self, DataCentre: s.DataCentre()}, store, peer.NewFetcher(), g.logger)
 	g.feed.apply, g.feed.dropLapsed = g.apply, g.fleet.DropLapsed
 	g.feed.register(g.registry)
@@ -175,9 +177,15 @@
 	}
 	g.exchange = peer.NewExchange(self, datagrams, g.fleet, g.feed, g.logger, peer.WithMembersFunc(g.setMembers), peer.WithQuarantine(g.parts.quarantine),
 		peer.WithDataCentre(g.settings.DataCentre()), peer.WithStoreWatcher(g.feed), peer.WithShares(g.shares))
+	g.relays = peer.NewRelays(g.exchange)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	limits := newConnectionLimits(g.settings.Descriptors(), g.account.Limit())
+	g.relayServer = peer.NewRelayServer(limits.relays, g.connectForPeer)
+	metrics.NewRegisteredFunctionalGauge("gateway.relayedForPeers", g.registry, func() int64 { return int64(g.relayServer.Open()) })
+	peers := http.NewServeMux()
+	peers.Handle("/", peer.RecordsHandler(g.feed.recordsSince))
+	g.relayServer.Handle(peers)
 	internal := forward.NewMemory(int64(limits.peers+limits.ready+limits.metrics) * internalClientBytes)
 	internal.ReportTo(g.handler.RecordCut)
 	servers := []struct {
@@ -185,7 +193,7 @@
 		handler                 http.Handler
 		limit                   int
 	}{
-		{"peers' fetches", self, "peers", peer.RecordsHandler(g.feed.recordsSince), limits.peers},
+		{"peers", self, "peers", peers, limits.peers},
 		{"readiness", g.settings.ReadyListen(), "ready", ready, limits.ready},
 		{"metrics", g.settings.MetricsListen(), "metrics", g.metricsHandler(), limits.metrics},
 	}
@@ -419,40 +427,33 @@
 	return mux
 }
 
-// probeInterval is the time between probes of unreachable data centres. probeTimeout bounds one probe.
-const (
-	probeInterval = 400 * time.Millisecond
-	probeTimeout  = 300 * time.Millisecond
-)
+// probeInterval is the time between probes of endpoints that this VM does not reach.
+const probeInterval = 400 * time.Millisecond
 
-// probeUnreachable periodically opens a connection to one endpoint of each unreachable data centre and marks the data
-// centre as reachable when that succeeds. It also logs when this VM loses or regains the last reachable data centre.
+// probeUnreachable periodically tries the paths to endpoints that this VM does not reach. It also logs when this VM loses or regains the
+// last reachable data centre, and the last path of its own to an endpoint.
 func (g *Gateway) probeUnreachable(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
-	isolated := false
+	isolated, cutOffSelf := false, false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		for _, t := range g.fleet.ProbeTargets() {
-			dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-			conn, err := g.dial(dialCtx, "tcp", t.Address)
-			cancel()
-			if err != nil {
-				continue // retried at the next tick
-			}
-			conn.Close()
-			g.fleet.MarkReachable(t.ID)
-			g.logger.WithField("endpoint", t.ID).Info("gateway: a data centre can be reached again")
-		}
+		g.handler.ProbePaths(ctx)
 		if now := g.fleet.Isolated(); now != isolated {
 			isolated = now
 			reaching, cutOff := g.exchange.Reach()
 			g.logger.WithFields(log.Fields{"isolated": now, "peersReaching": reaching, "peersCutOff": cutOff}).Warn("gateway: whether any endpoint can be reached changed")
 		}
+		if now := g.fleet.CutOff(); now != cutOffSelf {
+			cutOffSelf = now
+			reaching, cutOff := g.exchange.Reach()
+			g.logger.WithFields(log.Fields{"cutOff": now, "lostPaths": g.fleet.LostPaths(), "peersReaching": reaching, "peersCutOff": cutOff}).
+				Warn("gateway: whether this VM has a path of its own to any endpoint changed")
+		}
 	}
 }
 
@@ -504,6 +505,7 @@
 	case <-ctx.Done():
 	}
 	err := g.callers.Shutdown(ctx)
+	g.relayServer.Wait(ctx) // requests of other VMs
 	if err == nil {
 		return nil
 	}
@@ -518,6 +520,7 @@
 func (g *Gateway) Close() {
 	g.logger.WithField("running", g.handler.Running()).Info("gateway: stopped")
 	g.callers.Close()
+	g.relayServer.Close()
 	for _, s := range g.internalServers {
 		s.Close()
 	}
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// relayDialer opens connections to endpoints through other VMs. It implements forward.Relays.
+type relayDialer struct{ g *Gateway }
+
+// Dial implements forward.Relays.
+func (d relayDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	dataCentre, _ := d.g.fleet.RelayTarget(time.Now(), address) // the other VM decides whether it relays
+	return d.g.relays.Dial(ctx, address, dataCentre)
+}
+
+// relayConnectTimeout limits a connection to an endpoint on behalf of another VM. It is below the time that the other VM waits for it.
+const relayConnectTimeout = 150 * time.Millisecond
+
+// connectForPeer opens a connection to the endpoint at an address for another VM, or returns why this VM relays none there.
+func (g *Gateway) connectForPeer(ctx context.Context, address string) (conn net.Conn, refusal string, err error) {
+	if g.stopping.Load() {
+		return nil, "stopping", nil
+	}
+	if _, refusal = g.fleet.RelayTarget(time.Now(), address); refusal != "" {
+		return nil, refusal, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayConnectTimeout)
+	defer cancel()
+	conn, err = g.dial(ctx, "tcp", address)
+	return conn, "", err
+}
+
+// dialEndpoint opens a connection to an endpoint, through another VM if this VM does not reach it.
+func (g *Gateway) dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
+	return g.handler.DialEndpoint(ctx, network, address)
+}
+
+// ReportPause implements forward.Relays.
+func (d relayDialer) ReportPause(conn net.Addr, endpointID string, pause time.Duration) {
+	d.g.relays.ReportPause(conn, endpointID, pause)
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -491,7 +491,7 @@
 func (x *Exchange) heartbeatLocked(now time.Time) message {
 	return message{
 		Heartbeat: true, Peers: samplePeers(x.aliveLocked(now)), DataCentre: x.dataCentre, Joined: x.joined, Continuity: x.store.Continuity().Milliseconds(),
-		CutOff: x.fleet.Isolated(),
+		CutOff: x.fleet.CutOff(),
 	}
 }
 
@@ -614,7 +614,7 @@
 	}
 	x.sendLocked(message{
 		Peers: samplePeers(x.aliveLocked(now)), DataCentre: x.dataCentre, Joined: x.joined, Summaries: encodeSummaries(summaries),
-		Continuity: x.store.Continuity().Milliseconds(), CutOff: x.fleet.Isolated(),
+		Continuity: x.store.Continuity().Milliseconds(), CutOff: x.fleet.CutOff(),
 	}, to)
 }
 
@@ -687,6 +687,9 @@
 	if len(m.Suspects) > 0 {
 		x.fleet.MergeSuspects(decodeSuspects(m.Suspects, now))
 	}
+	if len(m.Pauses) > 0 {
+		x.fleet.MergePauses(now, decodeSuspects(m.Pauses, now))
+	}
 	if m.Paces != nil && !stale {
 		x.fleet.MergePaces(now, m.From, decodePaces(*m.Paces, now))
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -33,6 +33,7 @@
 	Exceeding      []int            `cbor:"20,keyasint,omitempty"` // positions in WaitingPrompts of those whose customers exceed their shares
 	Lagging        []int            `cbor:"22,keyasint,omitempty"` // positions in WaitingPrompts of those whose sizes lag
 	CutOff         bool             `cbor:"23,keyasint,omitempty"` // the sender reaches no endpoint, in heartbeats and beacons
+	Pauses         []suspect        `cbor:"24,keyasint,omitempty"` // pauses that endpoints asked for in answers that the receiver relayed to the sender
 	Placements     []placement      `cbor:"21,keyasint,omitempty"` // placements of long prompts since the sender's last message with some
 }
 
