http1test: Say in a well-formed response that its connection ends

TestMalformedHead of platform failed once beside other race-detector runs: "Append: Post ...: EOF" for a well-formed response. The test server closes its connection after one response without saying so, and the client used the connection again before it saw the end. The responses with faults are as before, and no check changed.

--- a/http1/http1test/http1test.go
+++ b/http1/http1test/http1test.go
@@ -136,7 +136,9 @@
 func CheckClient(t *testing.T, body string, call func(t *testing.T, address string) map[string]error) {
 	head := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
 	t.Run("well-formed", func(t *testing.T) {
-		for name, err := range call(t, ServeBytes(t, head+body)) {
+		// The server closes its connection after the response, so it says so; a client could use the connection again before it sees the end.
+		closing := strings.Replace(head, "\r\n", "\r\nConnection: close\r\n", 1)
+		for name, err := range call(t, ServeBytes(t, closing+body)) {
 			if err != nil {
 				t.Errorf("%s: %v", name, err)
 			}
