--- a/peer/relay.go
+++ b/peer/relay.go
@@ -10,8 +10,8 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +49,8 @@
 	relayRefusedFor = 300 * time.Millisecond
 	// otherCellTimeout replaces aliveTimeout for VMs of other cells, which are heard of at random intervals.
 	otherCellTimeout = 4 * time.Second
+	// maxRelayReason limits the bytes of the reason that a VM gives for not relaying.
+	maxRelayReason = 200
 	// maxRelayHeadBytes limits the head of an answer of a relay.
 	maxRelayHeadBytes = 4 << 10
 )
@@ -179,13 +181,15 @@
 		limited.N = 1<<63 - 1
 		return &relayedConn{Conn: conn, reader: reader}, nil
 	}
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxRelayReason)) // only for the log
+	reason := strings.TrimSpace(string(body))
 	switch resp.Header.Get(headerFault) {
 	case faultRefused:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	case faultTimeout:
-		return nil, errNoPath
+		return nil, errors.WithMessage(errNoPath, vm+" says: "+reason)
 	}
-	return nil, errors.Errorf("VM %s answered with status %d", vm, resp.StatusCode)
+	return nil, errors.Errorf("VM %s answered with status %d: %s", vm, resp.StatusCode, reason)
 }
 
 // relayedConn is a connection to an endpoint through another VM.
@@ -340,10 +344,10 @@
 	if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+relayProtocol+"\r\n\r\n"); err != nil {
 		return
 	}
-	var requestCut atomic.Bool
+	request := &relayedRequest{upstream: upstream}
 	var copied sync.WaitGroup
-	copied.Go(func() { copyRequest(upstream, reader, &requestCut) })
-	copyFrames(conn, upstream, &requestCut)
+	copied.Go(func() { request.copy(reader) })
+	copyFrames(conn, upstream, request.wasCut)
 	// The other VM reads the rest and closes its connection. Closing it first could discard what it has not read.
 	if w, ok := conn.(interface{ CloseWrite() error }); ok {
 		_ = w.CloseWrite()
@@ -352,17 +356,22 @@
 	copied.Wait()
 }
 
-// copyRequest copies what the other VM sends, and closes the connection to the endpoint when the other VM closes its own, because its caller
-// has left or has its answer. If the endpoint takes no more, cut is set and the rest is discarded: it may have answered already.
-func copyRequest(upstream net.Conn, reader io.Reader, cut *atomic.Bool) {
-	defer upstream.Close()
+// relayedRequest is the direction of a relayed connection to the endpoint.
+type relayedRequest struct {
+	upstream net.Conn
+	mu       sync.Mutex // held during a write, because a reset shows in the write or in a read, but not in both
+	cut      bool       // the endpoint takes no more
+}
+
+// copy copies what the other VM sends, and closes the connection to the endpoint when the other VM closes its own, because its caller has left
+// or has its answer. What the endpoint does not take is discarded: it may have answered already.
+func (r *relayedRequest) copy(from io.Reader) {
+	defer r.upstream.Close()
 	buf := make([]byte, relayBufferBytes)
 	for {
-		n, err := reader.Read(buf)
-		if n > 0 && !cut.Load() {
-			if _, writeErr := upstream.Write(buf[:n]); writeErr != nil {
-				cut.Store(true)
-			}
+		n, err := from.Read(buf)
+		if n > 0 {
+			r.write(buf[:n])
 		}
 		if err != nil {
 			return
@@ -370,8 +379,25 @@
 	}
 }
 
+func (r *relayedRequest) write(b []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.cut {
+		_, err := r.upstream.Write(b)
+		r.cut = err != nil
+	}
+}
+
+// wasCut reports, after the endpoint ended its side, whether it left a part of the request. It ends a write that the endpoint does not take.
+func (r *relayedRequest) wasCut() bool {
+	_ = r.upstream.SetWriteDeadline(time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut
+}
+
 // copyFrames copies what the endpoint sends in frames. It marks the end only if the endpoint closed the connection and took the whole request.
-func copyFrames(conn io.Writer, upstream io.Reader, requestCut *atomic.Bool) {
+func copyFrames(conn io.Writer, upstream io.Reader, requestCut func() bool) {
 	frame := make([]byte, 2+relayBufferBytes)
 	for {
 		n, err := upstream.Read(frame[2:])
@@ -381,7 +407,7 @@
 				return
 			}
 		}
-		if err == io.EOF && !requestCut.Load() {
+		if err == io.EOF && !requestCut() {
 			_, _ = conn.Write([]byte{0, 0}) // without it, the other VM takes the answer for interrupted
 		}
 		if err != nil {
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -114,6 +114,33 @@
 	}
 }
 
+// TestRelayedAnswerThatIsResetDuringTheUpload guards against an answer without a length that looks complete although the endpoint reset its
+// connection while the request was on its way: on Linux, the error shows in a write of the request or in a read of the answer, not in both.
+func TestRelayedAnswerThatIsResetDuringTheUpload(t *testing.T) {
+	v := newRelayingVM(t, 100, connectTo)
+	for range 20 {
+		address := serveOnce(t, func(conn *net.TCPConn) {
+			_, _ = io.ReadFull(conn, make([]byte, 1<<10)) // the connection is relayed by then
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			_ = conn.SetLinger(0)
+		})
+		conn, err := v.asking.Dial(context.Background(), address, "b")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = io.Copy(conn, io.LimitReader(zeros{}, 64<<20)) }()
+		if got, err := io.ReadAll(conn); err == nil {
+			t.Errorf("%q looks complete", got)
+		}
+		conn.Close()
+	}
+}
+
+// zeros is an endless source of bytes.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
+
 // TestRelayLearnsThatTheCallerLeft guards against an endpoint that works on for a caller that has left: the end of the asking VM's connection
 // ends that to the endpoint.
 func TestRelayLearnsThatTheCallerLeft(t *testing.T) {
