soak: Cut VMs off from all endpoints, in each way

goldlab soak runs its VMs from its own binary by default, so that their connections to endpoints go through a path that a file cuts: connections hang, are reset, or live on while new ones are refused.

--- a/cmd/goldlab/main.go
+++ b/cmd/goldlab/main.go
@@ -35,6 +35,6 @@
 			log.SetLevel(level)
 			return ctx, nil
 		},
-		Commands: []*cli.Command{standinsCommand(), loadCommand(), demoCommand(), experimentCommand(), slopesCommand(), soakCommand()},
+		Commands: []*cli.Command{standinsCommand(), loadCommand(), demoCommand(), experimentCommand(), slopesCommand(), soakCommand(), soakVMCommand()},
 	}
 }
--- a/cmd/goldlab/soak.go
+++ b/cmd/goldlab/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -17,7 +18,7 @@
 		Name:  "soak",
 		Usage: "run gateways under random faults and check what callers and endpoints receive; exit with code 1 if a guarantee is violated",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "program", Usage: "path of the goldcrest `BINARY`", Required: true},
+			&cli.StringFlag{Name: "program", Usage: "path of the goldcrest `BINARY`, by default the gateway of this program, whose paths to endpoints are cut as well"},
 			&cli.StringFlag{Name: "out", Value: "out/soak", Usage: "`DIRECTORY` for logs and timelines, one for each seed"},
 			&cli.Uint64Flag{Name: "seed", Value: uint64(time.Now().UnixNano() % 1e9), Usage: "first `SEED`"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds to run"},
@@ -28,9 +29,17 @@
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			failed := 0
+			program, cuts := cmd.String("program"), false
+			if program == "" {
+				var err error
+				if program, err = os.Executable(); err != nil {
+					return err
+				}
+				cuts = true
+			}
 			for i := range cmd.Int("seeds") {
 				cfg := soak.Config{
-					Program: cmd.String("program"), Seed: cmd.Uint64("seed") + uint64(i), Duration: cmd.Duration("duration"),
+					Program: program, Cuts: cuts, Seed: cmd.Uint64("seed") + uint64(i), Duration: cmd.Duration("duration"),
 					VMs: cmd.Int("vms"), Endpoints: cmd.Int("endpoints"), Clients: cmd.Int("clients"),
 				}
 				cfg.Dir = filepath.Join(cmd.String("out"), fmt.Sprint(cfg.Seed))
@@ -50,3 +59,19 @@
 		},
 	}
 }
+
+// soakVMCommand returns the command that runs one VM of a soak run.
+func soakVMCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "soak-vm",
+		Usage:  "run a gateway whose paths to endpoints are cut as a file states",
+		Hidden: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true},
+			&cli.StringFlag{Name: "paths", Usage: "`FILE` with hang, reset or refuse, or nothing", Required: true},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return soak.ServeVM(cmd.String("settings"), cmd.String("paths"), cmd.Root().Writer)
+		},
+	}
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -24,6 +24,7 @@
 	report       Report
 	requests     map[string]sentRequest // by request ID
 	servedRoutes map[string]int         // by VM and boot: number of extra routes up to the highest one served
+	cut, notCut  tally                  // requests that VMs got while paths of some had been cut for cutStabilityWindow
 }
 
 // sentRequest is one request that a client sent, with the status of its response.
@@ -77,6 +78,7 @@
 		path = fmt.Sprint("r", route)
 	}
 	boot, _ := v.bootState()
+	judged, cut := c.judgesCut(v, key, kind)
 	body := "body of " + id
 	sentAt := time.Now()
 	status, answer, attemptID, complete := c.exchange(client, v, path, id, key, body)
@@ -88,6 +90,9 @@
 	}
 	c.mu.Unlock()
 	bootAfter, stableFor := v.bootState()
+	if judged && boot == bootAfter {
+		c.countCut(cut, status == http.StatusOK && complete)
+	}
 	if status == http.StatusOK && complete {
 		want := platformtest.ResponseBody(body)
 		if kind == "stream" {
@@ -112,6 +117,57 @@
 	}
 }
 
+// cutStabilityWindow is the time from the beginning of a cut from which the callers of the VM must be served.
+const cutStabilityWindow = 3 * time.Second
+
+// tally counts requests.
+type tally struct{ served, sent int }
+
+// judgesCut reports whether a request sent now shows how callers are served during a cut, and whether its VM is cut off. It does while the
+// paths of some VM have been cut for cutStabilityWindow and the request's own VM has no other fault.
+func (c *checker) judgesCut(v *vm, key, kind string) (judged, cut bool) {
+	if key != "key-0" || kind == "route" { // other keys and routes may be unknown
+		return false, false
+	}
+	now := time.Now()
+	if _, stableFor := v.bootState(); stableFor < cutStabilityWindow {
+		return false, false
+	}
+	own := v.cutFor(now)
+	if own > 0 {
+		return own >= cutStabilityWindow, true
+	}
+	for _, w := range c.testbed.vms {
+		if w.cutFor(now) >= cutStabilityWindow {
+			return true, false
+		}
+	}
+	return false, false
+}
+
+// countCut counts a request that judgesCut selected.
+func (c *checker) countCut(cut, served bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := &c.notCut
+	if cut {
+		t = &c.cut
+	}
+	if t.sent++; served {
+		t.served++
+	}
+}
+
+// checkCuts reports a violation if VMs whose paths were cut served less than two thirds as many of their requests as the others, and more
+// than ten requests and one in fifty failed there.
+func (c *checker) checkCuts() {
+	c.testbed.timeline.add("during cuts: VMs that are cut off served %d of %d, the others %d of %d", c.cut.served, c.cut.sent, c.notCut.served, c.notCut.sent)
+	failed := c.cut.sent - c.cut.served
+	if failed > 10+(c.cut.sent+c.notCut.sent)/50 && 3*c.cut.served*c.notCut.sent < 2*c.notCut.served*c.cut.sent {
+		c.reportViolation("VMs that lost their paths to endpoints served %d of %d requests, the others %d of %d", c.cut.served, c.cut.sent, c.notCut.served, c.notCut.sent)
+	}
+}
+
 // checkRoute reports a violation if a VM answers 404 for a route although the same boot has served this route or a later one. The VM
 // has then returned to an older configuration.
 func (c *checker) checkRoute(boot string, route, status int, id string) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -86,6 +88,33 @@
 	}},
 }
 
+// cutFaults are the faults that cut the paths of a VM to all endpoints. They last longer than others, because callers must be served again
+// only some time after a cut begins.
+var cutFaults = []fault{
+	{"paths of a VM hang", func(s *testbed, v *vm, _ *proxiedEndpoint, d time.Duration) error { return s.cutPaths(v, "hang", d) }},
+	{"paths of a VM are reset", func(s *testbed, v *vm, _ *proxiedEndpoint, d time.Duration) error { return s.cutPaths(v, "reset", d) }},
+	{"new connections of a VM are refused", func(s *testbed, v *vm, _ *proxiedEndpoint, d time.Duration) error { return s.cutPaths(v, "refuse", d) }},
+}
+
+// faults returns the kinds of faults that the VMs can have.
+func (b *testbed) faults() []fault {
+	if !b.cfg.Cuts {
+		return faults
+	}
+	return slices.Concat(faults, cutFaults)
+}
+
+// cutPaths cuts the paths of a VM to the endpoints for cutStabilityWindow and the duration d.
+func (b *testbed) cutPaths(v *vm, mode string, d time.Duration) error {
+	if err := os.WriteFile(v.pathsFile, []byte(mode), 0o644); err != nil {
+		return err
+	}
+	v.setCutSince(time.Now())
+	time.Sleep(cutStabilityWindow + d)
+	v.setCutSince(time.Time{})
+	return os.WriteFile(v.pathsFile, nil, 0o644)
+}
+
 // baseMisbehaviourShare is the share of the requests that endpoints refuse, fail or do not answer completely outside the fault
 // "endpoints misbehave", which raises it.
 const baseMisbehaviourShare = 0.03
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,7 +10,8 @@
 
 // Config configures one soak run.
 type Config struct {
-	Program   string        // the goldcrest binary
+	Program   string        // the goldcrest binary, or goldlab if Cuts is set
+	Cuts      bool          // VMs run as goldlab soak-vm, so that their paths to endpoints can be cut
 	Dir       string        // directory for logs and the timeline
 	Seed      uint64        // determines the faults and the behaviour of endpoints
 	Duration  time.Duration // how long faults are injected
@@ -75,6 +76,7 @@
 	}
 	c.checkAllServe()
 	c.checkRuns()
+	c.checkCuts()
 	c.report.Faults = faultCount
 	b.timeline.add("%v", c.report.String())
 	return &c.report, nil
@@ -89,7 +91,7 @@
 	busy := map[any]bool{} // VMs, endpoints and names of faults in use; each is used by at most one fault at a time
 	n := 0
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(50+random.IntN(500)) * time.Millisecond) {
-		f := faults[random.IntN(len(faults))]
+		f := b.faults()[random.IntN(len(b.faults()))]
 		v, e := b.vms[random.IntN(len(b.vms))], b.endpoints[random.IntN(len(b.endpoints))]
 		duration := 300*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond)))
 		mu.Lock()
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -30,12 +30,14 @@
 	name, ip     string
 	storeProxy   *toxiproxy.Proxy
 	settingsFile string
+	pathsFile    string // states how its paths to the endpoints are cut
 
 	mu          sync.Mutex
 	cmd         *exec.Cmd
 	done        chan struct{} // closed when the process has exited
 	stableSince time.Time     // when the last fault on this VM ended or its process started
 	boots       int           // number of process starts
+	cutSince    time.Time     // when its paths to the endpoints were cut, zero while they are not
 }
 
 // proxiedEndpoint is one endpoint and the proxy through which VMs reach it.
@@ -117,7 +119,7 @@
 		if v.storeProxy, err = newProxy(storeAddress); err != nil {
 			return nil, err
 		}
-		v.settingsFile = filepath.Join(b.dir, v.name+".ini")
+		v.settingsFile, v.pathsFile = filepath.Join(b.dir, v.name+".ini"), filepath.Join(b.dir, v.name+".paths")
 		text := fmt.Sprintf("[gateway]\nname = %s\ndataCentre = dc%d\nstore = %s\n[caller]\nlisten = %s:%d\nreadyListen = %s:%d\n[peer]\naddress = %s\nports = %d,%d\n[limits]\nstopGrace = %v\n",
 			v.name, i%2, v.storeProxy.Listen, v.ip, ports, v.ip, ports+1, v.ip, ports+2, ports+9, stopGrace)
 		if err := os.WriteFile(v.settingsFile, []byte(text), 0o644); err != nil {
@@ -198,7 +200,11 @@
 		return err
 	}
 	v.boots++
-	cmd := exec.Command(b.cfg.Program, "serve", "--settings", v.settingsFile)
+	args := []string{"serve", "--settings", v.settingsFile}
+	if b.cfg.Cuts {
+		args = []string{"soak-vm", "--settings", v.settingsFile, "--paths", v.pathsFile}
+	}
+	cmd := exec.Command(b.cfg.Program, args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -253,6 +259,23 @@
 	return v.boots, time.Since(v.stableSince)
 }
 
+// setCutSince records when the paths of the VM were cut, or that they are not.
+func (v *vm) setCutSince(t time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cutSince = t
+}
+
+// cutFor returns for how long the paths of the VM have been cut, 0 if they are not.
+func (v *vm) cutFor(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cutSince.IsZero() {
+		return 0
+	}
+	return now.Sub(v.cutSince)
+}
+
 func (b *testbed) close() {
 	for _, v := range b.vms {
 		b.signal(v, syscall.SIGKILL)
