--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -88,8 +88,7 @@
 		"the VM ends":         {end: func(v *relayingVM, conn *net.TCPConn) { time.Sleep(50 * time.Millisecond); v.server.Close() }, wantErr: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var v *relayingVM
-			v = newRelayingVM(t, 4, connectTo)
+			v := newRelayingVM(t, 4, connectTo)
 			address := serveOnce(t, func(conn *net.TCPConn) {
 				buf := make([]byte, 4)
 				if _, err := io.ReadFull(conn, buf); err != nil || string(buf) != "ping" {
