endpoint: Copy waiting prompts for an explanation

Since a waiting prompt's Lags changes while it waits. An explanation of a selection read the same value under another mutex, a data race. The copy of the fleet has copies of the waiting prompts now, as its comment says of modified values. Found by reading.

--- a/endpoint/explain.go
+++ b/endpoint/explain.go
@@ -143,7 +143,9 @@
 	c.coldFactor, c.coldAllowance = f.coldFactor, f.coldAllowance
 	c.paces.enabled, c.paces.appearances = f.paces.enabled, map[string]*appearances{}
 	maps.Copy(c.enginesIn, f.enginesIn)
-	maps.Copy(c.waiters, f.waiters)
+	for w := range f.waiters {
+		c.waiters[&Waiter{fleet: c, WaitingPrompt: w.WaitingPrompt}] = true
+	}
 	maps.Copy(c.peerWaitingPrompts, f.peerWaitingPrompts)
 	copyValues(c.reachability, f.reachability)
 	copyValues(c.scarcity, f.scarcity)
