peer, endpoint: Report placements by size to all VMs of the cell

Above 33 VMs a heartbeat goes to a part of the cell in turn, and placements that it took along never reached the others: their shares by size were of fewer prompts. Each placement now wakes the exchange, which sends it to all.

--- a/endpoint/sizeshare.go
+++ b/endpoint/sizeshare.go
@@ -127,6 +127,7 @@
 	f.addPlacementLocked(now, p)
 	unsent := f.sizes.unsent[class]
 	f.sizes.unsent[class] = Placement{Class: class, Placed: unsent.Placed + p.Placed, Refused: unsent.Refused + p.Refused}
+	f.signalStateChangedLocked()
 }
 
 // addPlacementLocked adds a report to the placements of its class.
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -593,7 +593,6 @@
 	m.WaitingPrompts, m.WaitingRanks = encodeWaitingPrompts(prompts, now), encodeRanks(prompts)
 	m.Leaving, m.Paces = encodeLeaving(leaving), x.sendPacesLocked(paces, to)
 	m.Usage, m.Exceeding, m.Lagging = usage, positionsOf(prompts, exceeds), positionsOf(prompts, lags)
-	m.Placements = encodePlacements(x.fleet.TakePlacements())
 	x.sendLoadsLocked(m, loads, now, to)
 	if len(changed) > 0 {
 		x.sendLoadsLocked(message{}, changed, now, ended)
--- a/peer/message.go
+++ b/peer/message.go
@@ -34,7 +34,7 @@
 	Lagging        []int            `cbor:"22,keyasint,omitempty"` // positions in WaitingPrompts of those whose sizes lag
 	CutOff         bool             `cbor:"23,keyasint,omitempty"` // the sender reaches no endpoint, in heartbeats and beacons
 	Pauses         []suspect        `cbor:"24,keyasint,omitempty"` // pauses that endpoints asked for in answers that the receiver relayed to the sender
-	Placements     []placement      `cbor:"21,keyasint,omitempty"` // placements of long prompts since the sender's last message with some
+	Placements     []placement      `cbor:"21,keyasint,omitempty"` // placements of long prompts since the sender's last message with some, sent to all VMs of the cell
 }
 
 // summary is the wire form of endpoint.Summary.
