--- a/endpoint/longburst_test.go
+++ b/endpoint/longburst_test.go
@@ -508,7 +508,7 @@
 					}
 				},
 			}
-			prompts := b.runSeeds(16)
+			prompts := b.runSeeds(5)
 			var longest []*burstPrompt
 			onTarget, of := make([]int, len(b.kinds)), make([]int, len(b.kinds))
 			for _, p := range prompts {
