endpoint, forward: Go on with an interrupted prompt whose size lags

Forward now says that an attempt was interrupted, and such a prompt is placed as before. TestInterruptedPromptOfALaggingSize fails without the change.

--- a/endpoint/longprompt.go
+++ b/endpoint/longprompt.go
@@ -146,14 +146,14 @@
 // selectForLate returns engines for a prompt that can no longer meet its TTFT target. Until forceShare of the prompt's time limit
 // has passed, the prompt lets those precede that can still meet their targets, and uses only engines whose streams it does not
 // disturb. After that, it may also use engines where it disturbs the fewest streams. A prompt whose size lags waits beside the others until
-// then instead of being refused for them, but never disturbs streams. A prompt of a customer that exceeds its share is refused.
+// then instead of being refused for them, but disturbs no stream unless an attempt was interrupted. A prompt of a customer that exceeds its share is refused.
 func (f *Fleet) selectForLate(now time.Time, wait *WaitingPrompt, candidates []candidate, prefill time.Duration, neededTokens, maxEngines int, s *Service, prompt Prompt) ([]candidate, *customer.Refusal) {
 	if prompt.exceeds {
 		return nil, refuseLate(prompt, "its target is missed")
 	}
 	forced := prompt.Waited >= time.Duration(forceShare*float64(prompt.TimeLimit))
 	size := f.promptSizeLocked(now, s, prompt.TTFTTarget, wait.Prefill)
-	lags := size.Lags()
+	lags := size.Lags() && !prompt.Interrupted
 	if lags && forced {
 		return nil, refuseLate(prompt, "its target is missed"+size.suffix())
 	}
--- a/endpoint/select.go
+++ b/endpoint/select.go
@@ -54,7 +54,9 @@
 	Customer   string        // team that sent the request, "" if the route is public
 	// Retried is set if the caller sends the prompt again after a refusal.
 	Retried bool
-	Waiter  *Waiter // registration of the prompt as waiting, nil before it waits
+	// Interrupted is set if an attempt was sent and failed, so that the prompt has been placed before.
+	Interrupted bool
+	Waiter      *Waiter // registration of the prompt as waiting, nil before it waits
 	// givesWay is set while capacity is scarce and the prompt is not of the most urgent rank.
 	givesWay bool
 	exceeds  bool // the customer exceeds its share of scarce capacity
--- a/endpoint/sizeshare_test.go
+++ b/endpoint/sizeshare_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,3 +56,30 @@
 	f.RecordPlacement(start, model, sizePrompt(tokens, false), nil)
 	return f.SizeShares(start)[0].Class
 }
+
+// TestInterruptedPromptOfALaggingSize guards against a prompt that is refused after its attempt was interrupted, because its size lags and it
+// disturbs streams: it was placed before, and its caller may have had events. One that was never placed waits beside others and is refused.
+func TestInterruptedPromptOfALaggingSize(t *testing.T) {
+	f := newFleet(20)
+	for range 5 {
+		f.RecordPlacement(start, model, sizePrompt(150_000, false), nil)
+		f.RecordPlacement(start, model, sizePrompt(300_000, false), customer.Refuse(customer.ReasonDeadline, "late"))
+	}
+	for i := range 20 { // a stream that accepts only short gaps on each engine
+		mustSelect(t, f, start, shortPrompt, allButOne(f, i)...)
+	}
+	p := sizePrompt(300_000, false)
+	p.Waited = 8 * time.Second
+	if _, refusal := f.SelectForGeneration(start.Add(time.Second), model, p, nil); refusal == nil || refusal.Reason() != customer.ReasonDeadline {
+		t.Errorf("a prompt that was never placed: refusal %v, want one because of its time", refusal)
+	}
+	p.Interrupted = true
+	if _, refusal := f.SelectForGeneration(start.Add(time.Second), model, p, nil); refusal != nil {
+		t.Errorf("an interrupted prompt is refused: %v", refusal)
+	}
+}
+
+// allButOne returns the IDs of all engines but one.
+func allButOne(f *endpoint.Fleet, one int) []string {
+	return slices.DeleteFunc(f.IDs(), func(id string) bool { return id == engineEntry(one).ID })
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -162,7 +162,7 @@
 func (q *request) prompt(now time.Time, waiter *endpoint.Waiter) endpoint.Prompt {
 	return endpoint.Prompt{
 		Tokens: q.call.PromptTokens, MaxOutput: q.call.OutputTokens, TTFTTarget: q.route.TTFTTarget, Waited: now.Sub(q.call.ArrivedAt),
-		GapLimit: q.route.GapLimit, TimeLimit: q.timeLimit(), Retried: q.callerRetried(), Waiter: waiter,
+		GapLimit: q.route.GapLimit, TimeLimit: q.timeLimit(), Retried: q.callerRetried(), Interrupted: q.sends > 0, Waiter: waiter,
 		Rank: q.rank(), Customer: q.sharer(),
 	}
 }
