peer, gateway: Ask a relaying VM for other endpoints after one has failed

A VM that did not relay was left alone for 0.3 s, also if only the endpoint had ended or was draining. After the crash of one endpoint, a VM without paths could then reach no endpoint at all for that time where few VMs relay. Now a VM is avoided only if it relays nothing, or if it did not reach an endpoint that the next VM reached. Found by reading; TestRelayRefusals has the case.

--- a/endpoint/path.go
+++ b/endpoint/path.go
@@ -170,6 +170,9 @@
 	return n
 }
 
+// RelayPathLost is the reason of RelayTarget if this VM has lost its own path to the endpoint, and so probably to others.
+const RelayPathLost = "pathLost"
+
 // RelayTarget returns the data centre of the endpoint at an address, and why this VM relays no connection there, or "". An endpoint that gets
 // no request of this VM gets none through it either.
 func (f *Fleet) RelayTarget(now time.Time, address string) (dataCentre, refusal string) {
@@ -189,7 +192,7 @@
 		case now.Before(m.pausedUntil):
 			return m.entry.DataCentre, "paused"
 		case f.pathLostLocked(m):
-			return m.entry.DataCentre, "pathLost"
+			return m.entry.DataCentre, RelayPathLost
 		}
 		return m.entry.DataCentre, ""
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"time"
+
+	"goldcrestpath/endpoint"
+	"goldcrestpath/peer"
 )
 
 // relayDialer opens connections to endpoints through other VMs. It implements forward.Relays.
@@ -19,17 +22,17 @@
 const relayConnectTimeout = 150 * time.Millisecond
 
 // connectForPeer opens a connection to the endpoint at an address for another VM, or returns why this VM relays none there.
-func (g *Gateway) connectForPeer(ctx context.Context, address string) (conn net.Conn, refusal string, err error) {
+func (g *Gateway) connectForPeer(ctx context.Context, address string) (net.Conn, peer.RelayRefusal, error) {
 	if g.stopping.Load() {
-		return nil, "stopping", nil
+		return nil, peer.RelayRefusal{Reason: "stopping"}, nil
 	}
-	if _, refusal = g.fleet.RelayTarget(time.Now(), address); refusal != "" {
-		return nil, refusal, nil
+	if _, reason := g.fleet.RelayTarget(time.Now(), address); reason != "" {
+		return nil, peer.RelayRefusal{Reason: reason, EndpointOnly: reason != endpoint.RelayPathLost}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayConnectTimeout)
 	defer cancel()
-	conn, err = g.dial(ctx, "tcp", address)
-	return conn, "", err
+	conn, err := g.dial(ctx, "tcp", address)
+	return conn, peer.RelayRefusal{}, err
 }
 
 // dialEndpoint opens a connection to an endpoint, through another VM if this VM does not reach it.
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -32,9 +32,10 @@
 const (
 	relayPath     = "/relay"
 	relayProtocol = "goldcrest-relay"
-	headerFault   = "Relay-Fault" // why the endpoint was not reached: one of the faults below
+	headerFault   = "Relay-Fault" // why the endpoint was not reached, one of the faults below; none if the VM relays nothing
 	faultRefused  = "refused"     // its machine refused the connection
 	faultTimeout  = "unreachable" // it did not answer
+	faultEndpoint = "notUsed"     // the VM sends no request to it
 
 	// relayTimeout limits the time until a VM has opened a relayed connection or refused it. It contains the time for the connection to the
 	// endpoint. dialTimeout limits the time for all VMs that are asked.
@@ -80,30 +81,50 @@
 	defer cancel()
 	now := time.Now()
 	err := ErrNoRelay
+	var failed []string // VMs that did not reach the endpoint
 	for _, vm := range r.candidates(now, dataCentre) {
 		conn, dialErr := r.dialThrough(limited, vm, address)
 		if dialErr == nil {
+			r.avoid(now, failed...) // they are cut off
 			return conn, nil
 		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		r.mu.Lock()
-		r.refused[vm] = now
-		r.mu.Unlock()
 		// A VM that failed may be cut off itself and not know it yet, so another one is asked before its evidence counts.
 		switch {
 		case errors.Is(dialErr, syscall.ECONNREFUSED):
 			err = dialErr
-		case errors.Is(dialErr, errNoPath) && !errors.Is(err, syscall.ECONNREFUSED):
-			err = dialErr
-		case err == ErrNoRelay:
-			err = errors.WithMessage(ErrNoRelay, dialErr.Error())
+			failed = append(failed, vm)
+		case errors.Is(dialErr, errNoPath):
+			failed = append(failed, vm)
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				err = dialErr
+			}
+		default:
+			if !errors.Is(dialErr, errNotUsed) {
+				r.avoid(now, vm)
+			}
+			if err == ErrNoRelay {
+				err = errors.WithMessage(ErrNoRelay, dialErr.Error())
+			}
 		}
 	}
 	return nil, err
 }
 
+// avoid excludes VMs that relay nothing for relayRefusedFor.
+func (r *Relays) avoid(now time.Time, vms ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, vm := range vms {
+		r.refused[vm] = now
+	}
+}
+
+// errNotUsed is the error for an endpoint to which the relaying VM sends no request itself.
+var errNotUsed = errors.New("another VM sends no request to the endpoint")
+
 // errNoPath is the error for an endpoint that the relaying VM does not reach either.
 var errNoPath = errors.New("another VM does not reach the endpoint either")
 
@@ -191,6 +212,8 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	case faultTimeout:
 		return nil, errors.WithMessage(errNoPath, vm+" says: "+reason)
+	case faultEndpoint:
+		return nil, errors.WithMessage(errNotUsed, vm+" says: "+reason)
 	}
 	return nil, errors.Errorf("VM %s answered with status %d: %s", vm, resp.StatusCode, reason)
 }
@@ -231,9 +254,18 @@
 	return err
 }
 
+// RelayRefusal is why a VM relays no connection to an endpoint. The zero value stands for none.
+type RelayRefusal struct {
+	Reason       string
+	EndpointOnly bool // it holds for this endpoint, others may be relayed
+}
+
+// Connect opens a connection to the endpoint at an address for another VM, or returns why this VM relays none there.
+type Connect func(ctx context.Context, address string) (net.Conn, RelayRefusal, error)
+
 // RelayServer opens connections to endpoints on behalf of other VMs.
 type RelayServer struct {
-	connect func(ctx context.Context, address string) (conn net.Conn, refusal string, err error)
+	connect Connect
 	limit   int
 
 	mu      sync.Mutex
@@ -242,9 +274,8 @@
 	changed chan struct{} // holds a token after a connection ended
 }
 
-// NewRelayServer returns a server that relays up to limit connections at once. connect opens a connection to the endpoint at an address, or
-// returns why this VM relays none there.
-func NewRelayServer(limit int, connect func(ctx context.Context, address string) (conn net.Conn, refusal string, err error)) *RelayServer {
+// NewRelayServer returns a server that relays up to limit connections at once.
+func NewRelayServer(limit int, connect Connect) *RelayServer {
 	return &RelayServer{connect: connect, limit: limit, open: map[net.Conn]bool{}, changed: make(chan struct{}, 1)}
 }
 
@@ -270,8 +301,11 @@
 	}
 	upstream, refusal, err := s.connect(r.Context(), r.URL.Query().Get("address"))
 	switch {
-	case refusal != "":
-		http.Error(w, refusal, http.StatusServiceUnavailable)
+	case refusal.Reason != "":
+		if refusal.EndpointOnly {
+			w.Header().Set(headerFault, faultEndpoint)
+		}
+		http.Error(w, refusal.Reason, http.StatusServiceUnavailable)
 		return
 	case errors.Is(err, syscall.ECONNREFUSED):
 		w.Header().Set(headerFault, faultRefused)
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -27,7 +27,7 @@
 }
 
 // newRelayingVM returns a VM that relays up to limit connections with connect.
-func newRelayingVM(t *testing.T, limit int, connect func(ctx context.Context, address string) (net.Conn, string, error)) *relayingVM {
+func newRelayingVM(t *testing.T, limit int, connect peer.Connect) *relayingVM {
 	t.Helper()
 	v := &relayingVM{server: peer.NewRelayServer(limit, connect)}
 	t.Cleanup(v.server.Close)
@@ -51,9 +51,9 @@
 }
 
 // connectTo opens a connection without any check.
-func connectTo(ctx context.Context, address string) (net.Conn, string, error) {
+func connectTo(ctx context.Context, address string) (net.Conn, peer.RelayRefusal, error) {
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
-	return conn, "", err
+	return conn, peer.RelayRefusal{}, err
 }
 
 // serveOnce accepts one connection and calls serve for it.
@@ -167,49 +167,57 @@
 	await(t, "no connection is relayed", func() bool { return v.server.Open() == 0 })
 }
 
-// TestRelayRefusals guards against VMs that relay more connections than their limit or relay where they send no request themselves, and against
-// a refusal by a VM that is taken for one by the endpoint.
+// TestRelayRefusals guards against VMs that relay more connections than their limit or relay where they send no request themselves, against
+// a refusal by a VM that is taken for one by the endpoint, and against a VM that is not asked for other endpoints because one has ended.
 func TestRelayRefusals(t *testing.T) {
-	var refusal atomic.Value
-	refusal.Store("")
-	v := newRelayingVM(t, 1, func(ctx context.Context, address string) (net.Conn, string, error) {
-		if r := refusal.Load().(string); r != "" {
-			return nil, r, nil
+	var refusal atomic.Pointer[peer.RelayRefusal]
+	refusal.Store(&peer.RelayRefusal{})
+	v := newRelayingVM(t, 1, func(ctx context.Context, address string) (net.Conn, peer.RelayRefusal, error) {
+		if r := refusal.Load(); r.Reason != "" {
+			return nil, *r, nil
 		}
 		return connectTo(ctx, address)
 	})
 	address := serveOnce(t, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) })
 	pause := func() { time.Sleep(400 * time.Millisecond) } // a VM that refused is not asked again at once
-	refusal.Store("draining")
+	refusal.Store(&peer.RelayRefusal{Reason: "stopping"})
 	if _, err := v.asking.Dial(context.Background(), address, "b"); !errors.Is(err, peer.ErrNoRelay) || errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("error %v, want ErrNoRelay", err)
 	}
-	refusal.Store("")
+	refusal.Store(&peer.RelayRefusal{})
 	if _, err := v.asking.Dial(context.Background(), address, "b"); !errors.Is(err, peer.ErrNoRelay) {
 		t.Errorf("right after a refusal: error %v, want ErrNoRelay without another question", err)
 	}
 	pause()
+	refusal.Store(&peer.RelayRefusal{Reason: "draining", EndpointOnly: true})
+	if _, err := v.asking.Dial(context.Background(), address, "b"); !errors.Is(err, peer.ErrNoRelay) {
+		t.Errorf("an endpoint that drains: error %v, want ErrNoRelay", err)
+	}
+	refusal.Store(&peer.RelayRefusal{})
+	ended := endedAddress(t)
+	if _, err := v.asking.Dial(context.Background(), ended, "b"); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("right after a refusal for one endpoint, an endpoint that ended: error %v, want a refused connection", err)
+	}
 	conn, err := v.asking.Dial(context.Background(), address, "b")
 	if err != nil {
-		t.Fatal(err)
+		t.Fatalf("right after the failure of one endpoint: %v", err)
 	}
 	defer conn.Close()
 	await(t, "the connection is relayed", func() bool { return v.server.Open() == 1 })
 	if _, err := v.asking.Dial(context.Background(), address, "b"); !errors.Is(err, peer.ErrNoRelay) {
 		t.Errorf("beyond the limit: error %v, want ErrNoRelay", err)
 	}
-	conn.Close()
-	await(t, "no connection is relayed", func() bool { return v.server.Open() == 0 })
-	pause()
+}
+
+// endedAddress returns an address that refuses connections.
+func endedAddress(t *testing.T) string {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ended := l.Addr().String()
-	l.Close()
-	if _, err := v.asking.Dial(context.Background(), ended, "b"); !errors.Is(err, syscall.ECONNREFUSED) {
-		t.Errorf("an endpoint that ended: error %v, want a refused connection", err)
-	}
+	defer l.Close()
+	return l.Addr().String()
 }
 
 // TestPauseReachesTheRelayingVM guards against a VM that goes on sending to an endpoint that asked for a pause in an answer which the VM relayed: the
@@ -233,9 +241,9 @@
 // TestVMsThatAreCutOffRelayNothing guards against a second hop: a VM that reaches no endpoint itself is not asked.
 func TestVMsThatAreCutOffRelayNothing(t *testing.T) {
 	var asked atomic.Int64
-	v := newRelayingVM(t, 4, func(context.Context, string) (net.Conn, string, error) {
+	v := newRelayingVM(t, 4, func(context.Context, string) (net.Conn, peer.RelayRefusal, error) {
 		asked.Add(1)
-		return nil, "pathLost", nil
+		return nil, peer.RelayRefusal{Reason: endpoint.RelayPathLost}, nil
 	})
 	v.fleet.SetEntry(time.Now(), endpoint.Entry{ID: "e", Service: "desk", Address: "10.0.0.1:80", DataCentre: "b", Slots: 1}, 0)
 	v.fleet.RecordRelayed("e")
