endpoint, forward, gateway: No evidence from a VM that may be cut off itself

A VM that is cut off and does not know it yet reported to others that endpoints refuse connections, which then counted as ended there (backoff), although others reached them. Now a VM that could open a connection to neither of two endpoints, with none in between, says that it may be cut off, and one that could not relay asks other VMs about its own path, at most every 0.2 s. So it learns of the cut from the first requests that it should relay.

--- a/endpoint/path.go
+++ b/endpoint/path.go
@@ -19,10 +19,11 @@
 	endpoints map[string]pathGroup // by address
 	groups    map[pathGroup]bool
 	failed    map[pathGroup]map[string]bool // addresses since the last connection of this VM to the group
+	notOpened map[string]bool               // addresses of endpoints since the last connection of this VM to any
 }
 
 func newLostPaths() lostPaths {
-	return lostPaths{endpoints: map[string]pathGroup{}, groups: map[pathGroup]bool{}, failed: map[pathGroup]map[string]bool{}}
+	return lostPaths{endpoints: map[string]pathGroup{}, groups: map[pathGroup]bool{}, failed: map[pathGroup]map[string]bool{}, notOpened: map[string]bool{}}
 }
 
 // groupOf returns the group of an endpoint.
@@ -62,6 +63,7 @@
 func (f *Fleet) RecordConnected(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	clear(f.paths.notOpened)
 	m := f.members[id]
 	if m == nil || len(f.paths.endpoints) == 0 {
 		return
@@ -71,6 +73,17 @@
 	delete(f.paths.failed, groupOf(m))
 }
 
+// RecordNotOpened records that this VM could not open a connection to the endpoint at an address. It reports whether this VM may be cut off: it could
+// not for pathsLostTogether different endpoints, with no connection to any in between. Its failures then say nothing of the endpoints.
+func (f *Fleet) RecordNotOpened(address string) (mayBeCutOff bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.paths.notOpened) < pathsLostTogether {
+		f.paths.notOpened[address] = true
+	}
+	return len(f.paths.notOpened) >= pathsLostTogether
+}
+
 // RecordRelayed records that this VM could not open a connection to the endpoint and that another VM could. first is set if the path was not
 // known to be lost, and all if the paths to all endpoints of its service in its data centre count as lost from now on.
 func (f *Fleet) RecordRelayed(id string) (first, all bool) {
@@ -173,9 +186,9 @@
 // RelayPathLost is the reason of RelayTarget if this VM has lost its own path to the endpoint, and so probably to others.
 const RelayPathLost = "pathLost"
 
-// RelayTarget returns the data centre of the endpoint at an address, and why this VM relays no connection there, or "". An endpoint that gets
-// no request of this VM gets none through it either.
-func (f *Fleet) RelayTarget(now time.Time, address string) (dataCentre, refusal string) {
+// RelayTarget returns the ID and the data centre of the endpoint at an address, and why this VM relays no connection there, or "". An endpoint
+// that gets no request of this VM gets none through it either.
+func (f *Fleet) RelayTarget(now time.Time, address string) (id, dataCentre, refusal string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.members {
@@ -184,17 +197,17 @@
 		}
 		switch {
 		case m.entry.Draining:
-			return m.entry.DataCentre, "draining"
+			return m.entry.ID, m.entry.DataCentre, "draining"
 		case m.leaving:
-			return m.entry.DataCentre, "leaving"
+			return m.entry.ID, m.entry.DataCentre, "leaving"
 		case f.drained[m.entry.DataCentre]:
-			return m.entry.DataCentre, "dataCentreDrained"
+			return m.entry.ID, m.entry.DataCentre, "dataCentreDrained"
 		case now.Before(m.pausedUntil):
-			return m.entry.DataCentre, "paused"
+			return m.entry.ID, m.entry.DataCentre, "paused"
 		case f.pathLostLocked(m):
-			return m.entry.DataCentre, RelayPathLost
+			return m.entry.ID, m.entry.DataCentre, RelayPathLost
 		}
-		return m.entry.DataCentre, ""
+		return m.entry.ID, m.entry.DataCentre, ""
 	}
-	return "", "unknown"
+	return "", "", "unknown"
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -54,6 +54,7 @@
 	unpooled     *http1.Transport // opens a new connection for each request
 	random       func() float64
 	running      atomic.Int64
+	lastCheck    atomic.Int64 // when CheckPath last asked other VMs, in Unix nanoseconds
 	refused      func(reason string) metrics.Counter
 	retried      func(reason string) metrics.Counter
 	answered     metrics.Timer
--- a/forward/path.go
+++ b/forward/path.go
@@ -57,6 +57,7 @@
 		return resp, false, err
 	}
 	direct := err
+	h.fleet.RecordNotOpened(target.Address)
 	if !errors.Is(direct, syscall.ECONNREFUSED) && !h.fleet.PathInDoubt(target.ID) {
 		// Another endpoint is tried next, because this one has more likely failed, and to ask other VMs of it takes time.
 		h.inBackground(func() { h.askOthers(target, direct) })
@@ -85,6 +86,20 @@
 	h.recordRelayed(target, direct)
 }
 
+// checkInterval is the least time between two checks of CheckPath.
+const checkInterval = 200 * time.Millisecond
+
+// CheckPath finds out in the background whether this VM has lost its path to an endpoint to which it could not open a connection for another
+// VM. A VM that has lost its paths learns it from the first request that it should relay, and not only from requests of its own.
+func (h *Handler) CheckPath(target endpoint.Target, direct error) {
+	now := time.Now().UnixNano()
+	last := h.lastCheck.Load()
+	if h.relays == nil || now-last < int64(checkInterval) || !h.lastCheck.CompareAndSwap(last, now) {
+		return // VMs that are all cut off would otherwise ask each other without end
+	}
+	h.inBackground(func() { h.askOthers(target, direct) })
+}
+
 // recordRelayed records that another VM reached an endpoint to which this VM could not open a connection.
 func (h *Handler) recordRelayed(target endpoint.Target, direct error) {
 	first, all := h.fleet.RecordRelayed(target.ID)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,7 +14,7 @@
 
 // Dial implements forward.Relays.
 func (d relayDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	dataCentre, _ := d.g.fleet.RelayTarget(time.Now(), address) // the other VM decides whether it relays
+	_, dataCentre, _ := d.g.fleet.RelayTarget(time.Now(), address) // the other VM decides whether it relays
 	return d.g.relays.Dial(ctx, address, dataCentre)
 }
 
@@ -26,13 +26,22 @@
 	if g.stopping.Load() {
 		return nil, peer.RelayRefusal{Reason: "stopping"}, nil
 	}
-	if _, reason := g.fleet.RelayTarget(time.Now(), address); reason != "" {
+	id, _, reason := g.fleet.RelayTarget(time.Now(), address)
+	if reason != "" {
 		return nil, peer.RelayRefusal{Reason: reason, EndpointOnly: reason != endpoint.RelayPathLost}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayConnectTimeout)
 	defer cancel()
 	conn, err := g.dial(ctx, "tcp", address)
-	return conn, peer.RelayRefusal{}, err
+	if err == nil {
+		g.fleet.RecordConnected(id)
+		return conn, peer.RelayRefusal{}, nil
+	}
+	g.handler.CheckPath(endpoint.Target{ID: id, Address: address}, err)
+	if g.fleet.RecordNotOpened(address) {
+		return nil, peer.RelayRefusal{Reason: "this VM may be cut off"}, nil
+	}
+	return nil, peer.RelayRefusal{}, err
 }
 
 // dialEndpoint opens a connection to an endpoint, through another VM if this VM does not reach it.
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -233,7 +233,7 @@
 	defer conn.Close()
 	v.asking.ReportPause(conn.RemoteAddr(), "e", time.Minute)
 	await(t, "the relaying VM pauses too", func() bool {
-		_, refusal := v.fleet.RelayTarget(time.Now(), address)
+		_, _, refusal := v.fleet.RelayTarget(time.Now(), address)
 		return refusal == "paused"
 	})
 }
