forward: Say in the failure of an attempt why no other VM relayed it

If neither this VM nor another one opened a connection, the log line of the attempt had the failure of this VM only, and the other one was lost. On-call engineers need both to tell a cut of the VM from a lost endpoint. The verdict and the outcome follow from this VM's failure as before.

--- a/forward/path.go
+++ b/forward/path.go
@@ -71,7 +71,7 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, true, err // the endpoint is not there for other VMs either
 	}
-	return nil, false, direct
+	return nil, false, errors.WithMessage(direct, "through other VMs: "+err.Error())
 }
 
 // askOthers finds out whether another VM reaches an endpoint to which this VM could not open a connection.
